--- /dev/null
+++ b/packages/model/Ticket.cpp
@@ -0,0 +1,121 @@
+#include "model/Ticket.h"
+
+#include <limits>
+#include <vector>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::string_view kPrefix = "t1";
+
+std::string
+Unsigned(const Ticket& aTicket)
+{
+  std::string text(kPrefix);
+  text += '.';
+  text += ToHex(aTicket.executor_.value_);
+  text += '.';
+  text += ToHex(aTicket.incarnation_);
+  text += '.';
+  text += ToHex(std::uint64_t{ aTicket.epoch_ });
+  text += '.';
+  text += ToHex(aTicket.nonce_);
+  return text;
+}
+
+Bits128
+TicketMac(const ClusterKey& aKey, TicketScope aScope, const Ticket& aTicket)
+{
+  std::string message = Unsigned(aTicket);
+  message += '\n';
+  message += aScope.service_;
+  message += '\n';
+  message += aScope.kind_;
+  return ComputeMac(aKey, message);
+}
+
+std::vector<std::string_view>
+SplitFields(std::string_view aText)
+{
+  std::vector<std::string_view> fields;
+  for (std::size_t dot = aText.find('.'); dot != std::string_view::npos; dot = aText.find('.')) {
+    fields.push_back(aText.substr(0, dot));
+    aText.remove_prefix(dot + 1);
+  }
+  fields.push_back(aText);
+  return fields;
+}
+
+tl::unexpected<UserError>
+Malformed(std::string_view aField)
+{
+  return tl::unexpected(UserError{ "ticket", "malformed field: " + std::string(aField) });
+}
+
+} // namespace
+
+Ticket
+IssueTicket(const ClusterKey& aKey,
+            TicketScope aScope,
+            NodeId aExecutor,
+            Incarnation aIncarnation,
+            std::uint32_t aEpoch,
+            Bits128 aNonce)
+{
+  Ticket ticket{ aExecutor, aIncarnation, aEpoch, aNonce, {} };
+  ticket.mac_ = TicketMac(aKey, aScope, ticket);
+  return ticket;
+}
+
+Bits128
+ChildNonce(const ClusterKey& aKey,
+           const Ticket& aParent,
+           std::uint32_t aCallIndex,
+           std::uint32_t aAttempt)
+{
+  return ComputeMac(aKey,
+                    "child\n" + FormatTicket(aParent) + '\n' + std::to_string(aCallIndex) + '\n' +
+                      std::to_string(aAttempt));
+}
+
+bool
+IsAuthentic(const ClusterKey& aKey, TicketScope aScope, const Ticket& aTicket)
+{
+  return MacEquals(TicketMac(aKey, aScope, aTicket), aTicket.mac_);
+}
+
+std::string
+FormatTicket(const Ticket& aTicket)
+{
+  return Unsigned(aTicket) + '.' + ToHex(aTicket.mac_);
+}
+
+tl::expected<Ticket, UserError>
+ParseTicket(std::string_view aText)
+{
+  constexpr std::size_t kFieldCount = 6;
+  const auto fields = SplitFields(aText);
+  if (fields.size() != kFieldCount || fields[0] != kPrefix) {
+    return Malformed("form, expected t1.executor.incarnation.epoch.nonce.mac");
+  }
+  const auto executor = ParseHex64(fields[1]);
+  const auto incarnation = ParseHex128(fields[2]);
+  const auto epoch = ParseHex64(fields[3]);
+  const auto nonce = ParseHex128(fields[4]);
+  const auto mac = ParseHex128(fields[5]);
+  if (!executor || !incarnation) {
+    return Malformed("executor or incarnation");
+  }
+  if (!epoch || *epoch > std::numeric_limits<std::uint32_t>::max()) {
+    return Malformed("epoch");
+  }
+  if (!nonce || !mac) {
+    return Malformed("nonce or mac");
+  }
+  return Ticket{
+    NodeId{ *executor }, *incarnation, static_cast<std::uint32_t>(*epoch), *nonce, *mac
+  };
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Routing.h
@@ -0,0 +1,117 @@
+/** \file
+ * Choice of the backend server for an attempt, from what this node has observed itself.
+ */
+#pragma once
+
+#include "model/Ids.h"
+#include "model/Importance.h"
+#include "model/PeerMessage.h"
+#include "model/Step.h"
+#include "model/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace fulmarway {
+
+/** A backend server's node that could take the attempt, from membership and configuration. */
+struct RouteCandidate
+{
+  NodeId id_;
+  bool sameDomain_ = false;
+  bool sameRegion_ = false;
+  /** Missed a probe; chosen only when nothing else is left. */
+  bool suspect_ = false;
+
+  auto operator<=>(const RouteCandidate&) const = default;
+};
+
+/** What is to be sent. */
+struct RouteQuery
+{
+  Importance importance_ = Importance::kNormal;
+  std::uint8_t clickBucket_ = 0;
+  /** Targets of earlier attempts of the same call; avoided while others are left. */
+  std::vector<NodeId> tried_;
+  std::uint64_t entropy_ = 0;
+
+  auto operator<=>(const RouteQuery&) const = default;
+};
+
+enum class RouteVerdict : std::uint8_t
+{
+  kChosen,
+  /** No candidate at all. */
+  kNoBackendServer,
+  /** Every candidate's admission level refuses the request, and it is no probe. */
+  kShedByLevel,
+};
+
+struct RouteDecision
+{
+  RouteVerdict verdict_ = RouteVerdict::kNoBackendServer;
+  NodeId target_;
+
+  auto operator<=>(const RouteDecision&) const = default;
+};
+
+enum class AttemptOutcome : std::uint8_t
+{
+  kSucceeded,
+  /** Refused as not run by the target; says nothing about its health. */
+  kRefused,
+  /** Failed, lost or timed out. */
+  kFailed,
+  /** Given up by this node, for example the loser of a hedge. */
+  kCancelled,
+};
+
+struct AttemptReport
+{
+  NodeId target_;
+  AttemptOutcome outcome_ = AttemptOutcome::kSucceeded;
+  Duration latency_{ 0 };
+  /** From the target's answer, when there was one. */
+  std::optional<LoadReport> load_;
+
+  bool operator==(const AttemptReport&) const = default;
+};
+
+/** Observations for each target; a target that membership forgets is dropped by ForgetTarget(). */
+struct RoutingState
+{
+  bool operator==(const RoutingState&) const = default;
+};
+
+/** Two random choices by outstanding attempts and latency, own failure domain first. */
+RouteDecision
+ChooseTarget(const RoutingState& aState,
+             std::span<const RouteCandidate> aCandidates,
+             const RouteQuery& aQuery,
+             Instant aNow);
+
+RoutingState
+NoteAttemptStart(RoutingState aState, NodeId aTarget, Instant aNow);
+
+/** Ends an attempt; may eject the target, at most half of aServiceTargets. */
+RoutingState
+NoteAttemptEnd(RoutingState aState,
+               const AttemptReport& aReport,
+               std::span<const RouteCandidate> aServiceTargets,
+               Instant aNow);
+
+RoutingState
+ForgetTarget(RoutingState aState, NodeId aTarget);
+
+/** How long to wait for an answer of aTarget before a hedge; nullopt while too little is known. */
+std::optional<Duration>
+HedgeDelay(const RoutingState& aState, NodeId aTarget);
+
+/** Attempts to the target that have not ended. */
+std::uint32_t
+OutstandingAttempts(const RoutingState& aState, NodeId aTarget);
+
+} // namespace fulmarway
