--- a/packages/model/Ids.h
+++ b/packages/model/Ids.h
@@ -78,7 +78,7 @@
 {
   std::size_t operator()(const fulmarway::Id<Tag>& aId) const noexcept
   {
-    return std::hash<std::uint64_t>{}(aId.value);
+    return std::hash<std::uint64_t>{}(aId.value_);
   }
 };
 
--- /dev/null
+++ b/packages/platform/LogProtocol.cpp
@@ -0,0 +1,112 @@
+#include "platform/LogProtocol.h"
+
+#include "wire/Frame.h"
+
+#include <charconv>
+#include <optional>
+
+namespace fulmarway {
+
+namespace {
+
+std::optional<std::uint64_t>
+ParseDecimal(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || error != std::errc{} || parsedTo != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/** One record of the answer: "OFFSET LENGTH\n", the bytes, "\n". */
+struct RawRecord
+{
+  std::uint64_t offset_ = 0;
+  std::string_view bytes_;
+};
+
+/** Removes the first record from aBody; nullopt when it is malformed. */
+std::optional<RawRecord>
+TakeRecord(std::string_view& aBody)
+{
+  const std::size_t space = aBody.find(' ');
+  const std::size_t lineEnd = aBody.find('\n');
+  if (space == std::string_view::npos || lineEnd == std::string_view::npos || space > lineEnd) {
+    return std::nullopt;
+  }
+  const auto offset = ParseDecimal(aBody.substr(0, space));
+  const auto length = ParseDecimal(aBody.substr(space + 1, lineEnd - space - 1));
+  aBody.remove_prefix(lineEnd + 1);
+  if (!offset || !length || *length >= aBody.size() || aBody[*length] != '\n') {
+    return std::nullopt;
+  }
+  const RawRecord record{ *offset, aBody.substr(0, *length) };
+  aBody.remove_prefix(*length + 1);
+  return record;
+}
+
+} // namespace
+
+LogRequest
+MakeAppendRequest(const ClusterKey& aKey, const LogRecord& aRecord)
+{
+  return { "POST", "/append", EncodeLogRecord(aKey, aRecord) };
+}
+
+LogRequest
+MakeReadRequest(std::uint64_t aFrom)
+{
+  return { "GET",
+           "/records?from=" + std::to_string(aFrom) + "&limit=" + std::to_string(kLogReadLimit),
+           "" };
+}
+
+tl::expected<std::uint64_t, UserError>
+ParseAppendAnswer(std::string_view aBody)
+{
+  constexpr std::string_view kField = "\"offset\":";
+  const std::size_t start = aBody.find(kField);
+  if (start == std::string_view::npos) {
+    return tl::unexpected(UserError{ "append answer", "has no offset" });
+  }
+  aBody.remove_prefix(start + kField.size());
+  const std::size_t end = aBody.find_first_of(",}");
+  const auto offset = ParseDecimal(aBody.substr(0, end));
+  if (!offset) {
+    return tl::unexpected(UserError{ "append answer", "offset is not a number" });
+  }
+  return *offset;
+}
+
+tl::expected<LogBatch, UserError>
+ParseReadAnswer(const ClusterKey& aKey,
+                std::string_view aEarliest,
+                std::string_view aLatest,
+                std::string_view aBody)
+{
+  const auto earliest = ParseDecimal(aEarliest);
+  const auto latest = ParseDecimal(aLatest);
+  if (!earliest || !latest) {
+    return tl::unexpected(UserError{ "read answer", "has no earliest or latest offset" });
+  }
+  LogBatch batch{ *earliest, *latest, {}, 0, 0 };
+  while (!aBody.empty()) {
+    const auto raw = TakeRecord(aBody);
+    if (!raw || raw->offset_ < batch.next_) {
+      return tl::unexpected(UserError{ "read answer", "malformed or unordered record" });
+    }
+    batch.next_ = raw->offset_ + 1;
+    auto record = DecodeLogRecord(aKey, raw->bytes_);
+    if (record) {
+      batch.records_.push_back({ raw->offset_, std::move(*record) });
+    } else {
+      ++batch.undecodable_;
+    }
+  }
+  return batch;
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/platform/LogProtocol.h
@@ -0,0 +1,64 @@
+/** \file
+ * The log service's interface as requests and responses, apart from any socket. The users' own
+ * protocol replaces this pair of files.
+ */
+#pragma once
+
+#include "model/Config.h"
+#include "model/Error.h"
+#include "model/Mac.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace fulmarway {
+
+/** An HTTP request without its transport. */
+struct LogRequest
+{
+  std::string method_;
+  std::string uri_;
+  std::string body_;
+
+  bool operator==(const LogRequest&) const = default;
+};
+
+/** What the log service answered to a read. Records that do not decode are left out and counted:
+ * anyone who can append could otherwise stop all readers. */
+struct LogBatch
+{
+  /** Offset of the earliest record that is still kept. */
+  std::uint64_t earliest_ = 0;
+  /** Offset that the next append will get. */
+  std::uint64_t latest_ = 0;
+  std::vector<OffsetRecord> records_;
+  /** Offset after the last record in the answer, decoded or not. */
+  std::uint64_t next_ = 0;
+  std::uint64_t undecodable_ = 0;
+
+  bool operator==(const LogBatch&) const = default;
+};
+
+inline constexpr std::uint32_t kLogReadLimit = 500;
+
+LogRequest
+MakeAppendRequest(const ClusterKey& aKey, const LogRecord& aRecord);
+
+LogRequest
+MakeReadRequest(std::uint64_t aFrom);
+
+/** The offset from the body of a successful append. */
+tl::expected<std::uint64_t, UserError>
+ParseAppendAnswer(std::string_view aBody);
+
+/** aEarliest and aLatest are the headers Fulmarway-Earliest and Fulmarway-Latest. */
+tl::expected<LogBatch, UserError>
+ParseReadAnswer(const ClusterKey& aKey,
+                std::string_view aEarliest,
+                std::string_view aLatest,
+                std::string_view aBody);
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/CommandFlow.cpp
@@ -0,0 +1,160 @@
+#include "policy/CommandFlow.h"
+
+#include "policy/Control.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr Duration kCommandTimeout = std::chrono::seconds(5);
+constexpr Duration kCommandAppendRetry = std::chrono::milliseconds(200);
+constexpr Duration kCommandReadInterval = std::chrono::milliseconds(50);
+
+CommandStatus
+StatusOf(CommandOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case CommandOutcome::kAccepted:
+      return CommandStatus::kAccepted;
+    case CommandOutcome::kConflict:
+      return CommandStatus::kConflict;
+    case CommandOutcome::kRejected:
+      return CommandStatus::kRejected;
+  }
+  return CommandStatus::kUnknown;
+}
+
+void
+Reply(ReduceContext& aContext, ExchangeId aExchange, const AuditEntry& aEntry)
+{
+  aContext.effects_.push_back(ReplyToCommand{
+    aExchange, StatusOf(aEntry.outcome_), aEntry.version_, aEntry.offset_, aEntry.detail_ });
+}
+
+void
+Append(NodeState& aState, ReduceContext& aContext, std::uint64_t aToken, PendingCommand& aCommand)
+{
+  aCommand.appending_ = true;
+  aState.counters_.Add(CounterId::kLogAppends);
+  aContext.effects_.push_back(AppendLog{ aToken, aCommand.record_ });
+}
+
+/** The audit entry of a command that the log already contains; nullptr when there is none. */
+const AuditEntry*
+FindApplied(const NodeState& aState, CommandId aId)
+{
+  const auto& audit = aState.log_.state_.audit_;
+  const auto found = std::find_if(audit.rbegin(), audit.rend(), [&](const AuditEntry& aEntry) {
+    return aEntry.record_.id_ == aId;
+  });
+  return found == audit.rend() ? nullptr : &*found;
+}
+
+} // namespace
+
+Duration
+ReadInterval(const NodeState& aState)
+{
+  return aState.control_.commands_.empty() ? aState.settings_.logPollInterval_
+                                           : kCommandReadInterval;
+}
+
+void
+HandleCommand(NodeState& aState, ReduceContext& aContext, const CommandArrived& aEvent)
+{
+  if (const AuditEntry* applied = FindApplied(aState, aEvent.id_)) {
+    Reply(aContext, aEvent.exchange_, *applied);
+    return;
+  }
+  const std::uint64_t version = ConfigOf(aState).version_;
+  const auto problem = CheckCommand(ConfigOf(aState), aEvent.command_);
+  if (problem) {
+    aContext.effects_.push_back(
+      ReplyToCommand{ aEvent.exchange_, CommandStatus::kRejected, version, 0, *problem });
+    return;
+  }
+  ControlState& control = aState.control_;
+  if (control.commands_.size() >= kMaxPendingCommands) {
+    aContext.effects_.push_back(ReplyToCommand{
+      aEvent.exchange_, CommandStatus::kUnavailable, version, 0, "too many pending commands" });
+    return;
+  }
+  PendingCommand command;
+  command.exchange_ = aEvent.exchange_;
+  command.record_ = { aEvent.id_,
+                      aEvent.operatorName_,
+                      aEvent.baseVersion_ == 0 ? version : aEvent.baseVersion_,
+                      aContext.wallTimeMs_,
+                      aEvent.command_ };
+  command.deadline_ = aContext.now_ + kCommandTimeout;
+  const std::uint64_t token = control.nextToken_++;
+  Append(aState, aContext, token, control.commands_.emplace(token, command).first->second);
+}
+
+void
+CompleteCommands(NodeState& aState,
+                 ReduceContext& aContext,
+                 const std::vector<AuditEntry>& aApplied)
+{
+  auto& commands = aState.control_.commands_;
+  for (const AuditEntry& entry : aApplied) {
+    for (auto command = commands.begin(); command != commands.end();) {
+      if (command->second.record_.id_ != entry.record_.id_) {
+        ++command;
+        continue;
+      }
+      Reply(aContext, command->second.exchange_, entry);
+      command = commands.erase(command);
+    }
+  }
+}
+
+void
+NoteCommandAppend(NodeState& aState, ReduceContext& aContext, const AppendFinished& aEvent)
+{
+  const auto found = aState.control_.commands_.find(aEvent.token_);
+  if (found == aState.control_.commands_.end()) {
+    return;
+  }
+  PendingCommand& command = found->second;
+  command.appending_ = false;
+  if (aEvent.result_ == AppendResult::kRefused) {
+    command.nextTryAt_ = aContext.now_ + aContext.random_.Jitter(kCommandAppendRetry);
+    return;
+  }
+  command.mayBeAppended_ = true;
+  aState.control_.nextReadAt_ = aContext.now_;
+}
+
+void
+AdvanceCommands(NodeState& aState, ReduceContext& aContext)
+{
+  auto& commands = aState.control_.commands_;
+  for (auto entry = commands.begin(); entry != commands.end();) {
+    PendingCommand& command = entry->second;
+    // A configuration that was learned from a peer may already contain the command.
+    if (const AuditEntry* applied = FindApplied(aState, command.record_.id_)) {
+      Reply(aContext, command.exchange_, *applied);
+      entry = commands.erase(entry);
+    } else if (aContext.now_ >= command.deadline_) {
+      const bool isUnknown = command.mayBeAppended_ || command.appending_;
+      aContext.effects_.push_back(
+        ReplyToCommand{ command.exchange_,
+                        isUnknown ? CommandStatus::kUnknown : CommandStatus::kUnavailable,
+                        ConfigOf(aState).version_,
+                        0,
+                        isUnknown ? "the command may take effect later; ask for it by its id"
+                                  : "the log service does not accept commands" });
+      entry = commands.erase(entry);
+    } else {
+      if (!command.mayBeAppended_ && !command.appending_ && aContext.now_ >= command.nextTryAt_) {
+        Append(aState, aContext, entry->first, command);
+      }
+      ++entry;
+    }
+  }
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Counters.cpp
@@ -0,0 +1,39 @@
+#include "policy/Counters.h"
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::array<std::string_view, kCounterCount> kCounterNames = {
+  "calls_started",   "calls_answered",      "attempts",         "retries",
+  "hedges",          "ticket_repeats",      "ticket_redirects", "backend_starts",
+  "backend_answers", "backend_failures",    "cancellations",    "peer_connections_lost",
+  "gossip_received", "gossip_sent",         "log_reads",        "log_read_failures",
+  "log_appends",     "log_append_failures", "config_fetches",
+};
+
+} // namespace
+
+std::string_view
+CounterName(CounterId aCounter)
+{
+  return kCounterNames[static_cast<std::size_t>(aCounter)];
+}
+
+void
+NoteRefusal(Counters& aCounters, RefusalKey aKey, std::string aClickId, Instant aNow)
+{
+  if (aCounters.trace_.size() >= kMaxTraceEntries) {
+    aCounters.trace_.pop_front();
+  }
+  aCounters.trace_.push_back({ std::move(aClickId),
+                               aNow,
+                               aKey.service_,
+                               aKey.kind_,
+                               aKey.side_,
+                               aKey.verdict_,
+                               aKey.reason_ });
+  ++aCounters.refusals_[std::move(aKey)];
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Effect.h
@@ -0,0 +1,165 @@
+/** \file
+ * Everything a node can do to the world. The event loop carries the effects out in order.
+ */
+#pragma once
+
+#include "model/CallerRequest.h"
+#include "model/Config.h"
+#include "model/PeerMessage.h"
+#include "policy/Event.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace fulmarway {
+
+struct ReplyToCaller
+{
+  ExchangeId exchange_;
+  CallerReply reply_;
+
+  bool operator==(const ReplyToCaller&) const = default;
+};
+
+/** Sends on the connection that this node opens to the peer. */
+struct SendToPeer
+{
+  NodeId peer_;
+  std::string address_;
+  PeerMessage message_;
+
+  bool operator==(const SendToPeer&) const = default;
+};
+
+/** Sends on a connection that the peer opened. */
+struct SendToLink
+{
+  LinkId link_;
+  PeerMessage message_;
+
+  bool operator==(const SendToLink&) const = default;
+};
+
+struct SendGossip
+{
+  std::string address_;
+  GossipMessage message_;
+
+  bool operator==(const SendGossip&) const = default;
+};
+
+struct CallBackend
+{
+  BackendRequest request_;
+
+  bool operator==(const CallBackend&) const = default;
+};
+
+/** Closes the connection on which the backend server works on the request. */
+struct CancelBackend
+{
+  RequestId request_;
+
+  bool operator==(const CancelBackend&) const = default;
+};
+
+struct ReadLog
+{
+  std::uint64_t from_ = 0;
+
+  bool operator==(const ReadLog&) const = default;
+};
+
+struct AppendLog
+{
+  /** Comes back in AppendFinished. */
+  std::uint64_t token_ = 0;
+  LogRecord record_;
+
+  bool operator==(const AppendLog&) const = default;
+};
+
+enum class CommandStatus : std::uint8_t
+{
+  kAccepted,
+  kConflict,
+  kRejected,
+  /** The append may have taken effect. */
+  kUnknown,
+  /** The log service took nothing. */
+  kUnavailable,
+};
+
+struct ReplyToCommand
+{
+  ExchangeId exchange_;
+  CommandStatus status_ = CommandStatus::kUnknown;
+  std::uint64_t version_ = 0;
+  std::uint64_t offset_ = 0;
+  std::string detail_;
+
+  bool operator==(const ReplyToCommand&) const = default;
+};
+
+/** One failure domain's part of the answer to InForceQueried. */
+struct DomainInForce
+{
+  std::string domain_;
+  /** Members that have not left or died. */
+  std::uint32_t members_ = 0;
+  std::uint32_t inForce_ = 0;
+  /** Whether any member answered. */
+  bool reachable_ = false;
+
+  bool operator==(const DomainInForce&) const = default;
+};
+
+struct ReplyInForce
+{
+  ExchangeId exchange_;
+  std::uint64_t version_ = 0;
+  std::vector<DomainInForce> domains_;
+
+  bool operator==(const ReplyInForce&) const = default;
+};
+
+/** A change of state worth a log line. */
+struct LogLine
+{
+  std::string event_;
+  std::vector<std::pair<std::string, std::string>> fields_;
+
+  bool operator==(const LogLine&) const = default;
+};
+
+/** No new caller connections; those that are open close after their next reply. */
+struct StopAccepting
+{
+  bool operator==(const StopAccepting&) const = default;
+};
+
+struct ExitProcess
+{
+  bool operator==(const ExitProcess&) const = default;
+};
+
+using Effect = std::variant<ReplyToCaller,
+                            SendToPeer,
+                            SendToLink,
+                            SendGossip,
+                            CallBackend,
+                            CancelBackend,
+                            ReadLog,
+                            AppendLog,
+                            ReplyToCommand,
+                            ReplyInForce,
+                            LogLine,
+                            StopAccepting,
+                            ExitProcess>;
+
+using Effects = std::vector<Effect>;
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Event.h
@@ -0,0 +1,206 @@
+/** \file
+ * Everything that can happen to a node. The event loop makes these from sockets and timers; tests
+ * make them directly.
+ */
+#pragma once
+
+#include "model/CallerRequest.h"
+#include "model/Config.h"
+#include "model/PeerMessage.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fulmarway {
+
+/** An accepted connection from another node; zero stands for this node itself. */
+using LinkId = Id<struct LinkIdTag>;
+
+struct CallerRequestArrived
+{
+  ExchangeId exchange_;
+  CallerRequest request_;
+
+  bool operator==(const CallerRequestArrived&) const = default;
+};
+
+/** The caller closed its connection before it had a reply. */
+struct CallerDisconnected
+{
+  ExchangeId exchange_;
+
+  bool operator==(const CallerDisconnected&) const = default;
+};
+
+/** A message on an accepted connection. */
+struct LinkMessageArrived
+{
+  LinkId link_;
+  NodeId from_;
+  PeerMessage message_;
+
+  bool operator==(const LinkMessageArrived&) const = default;
+};
+
+struct LinkClosed
+{
+  LinkId link_;
+
+  bool operator==(const LinkClosed&) const = default;
+};
+
+/** A message on a connection that this node opened. */
+struct PeerMessageArrived
+{
+  NodeId from_;
+  PeerMessage message_;
+
+  bool operator==(const PeerMessageArrived&) const = default;
+};
+
+/** A connection that this node opened is gone, or could not be opened. */
+struct PeerLost
+{
+  NodeId peer_;
+  /** Attempts of which no byte was written. */
+  std::vector<AttemptId> unwritten_;
+  /** Attempts of which at least one byte was written. */
+  std::vector<AttemptId> written_;
+
+  bool operator==(const PeerLost&) const = default;
+};
+
+struct BackendAnswered
+{
+  RequestId request_;
+  Answer answer_;
+  /** The backend server states that it refused the request without running it. */
+  bool refused_ = false;
+
+  bool operator==(const BackendAnswered&) const = default;
+};
+
+struct BackendFailed
+{
+  RequestId request_;
+  /** Whether at least one byte of the request was written. */
+  bool written_ = false;
+
+  bool operator==(const BackendFailed&) const = default;
+};
+
+struct BackendHealthChanged
+{
+  bool healthy_ = false;
+
+  bool operator==(const BackendHealthChanged&) const = default;
+};
+
+struct GossipArrived
+{
+  GossipMessage message_;
+
+  bool operator==(const GossipArrived&) const = default;
+};
+
+struct LogRecordsRead
+{
+  std::uint64_t earliest_ = 0;
+  std::uint64_t latest_ = 0;
+  /** Offset after the last record of the answer; 0 when it has none. */
+  std::uint64_t next_ = 0;
+  std::vector<OffsetRecord> records_;
+
+  bool operator==(const LogRecordsRead&) const = default;
+};
+
+struct LogReadFailed
+{
+  bool operator==(const LogReadFailed&) const = default;
+};
+
+enum class AppendResult : std::uint8_t
+{
+  kAppended,
+  /** Not written; may be tried again. */
+  kRefused,
+  /** The answer was lost; the record may be in the log. */
+  kUnknown,
+};
+
+struct AppendFinished
+{
+  std::uint64_t token_ = 0;
+  AppendResult result_ = AppendResult::kUnknown;
+
+  bool operator==(const AppendFinished&) const = default;
+};
+
+/** An operator's command that the parser accepted. */
+struct CommandArrived
+{
+  ExchangeId exchange_;
+  CommandId id_;
+  std::string operatorName_;
+  /** 0 stands for the version that this node has. */
+  std::uint64_t baseVersion_ = 0;
+  Command command_;
+
+  bool operator==(const CommandArrived&) const = default;
+};
+
+/** An operator asks how many nodes have a version in force. */
+struct InForceQueried
+{
+  ExchangeId exchange_;
+  std::uint64_t version_ = 0;
+
+  bool operator==(const InForceQueried&) const = default;
+};
+
+struct StopRequested
+{
+  bool operator==(const StopRequested&) const = default;
+};
+
+/** Every kTickInterval. */
+struct Tick
+{
+  bool operator==(const Tick&) const = default;
+};
+
+inline constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+
+using EventBody = std::variant<CallerRequestArrived,
+                               CallerDisconnected,
+                               LinkMessageArrived,
+                               LinkClosed,
+                               PeerMessageArrived,
+                               PeerLost,
+                               BackendAnswered,
+                               BackendFailed,
+                               BackendHealthChanged,
+                               GossipArrived,
+                               LogRecordsRead,
+                               LogReadFailed,
+                               AppendFinished,
+                               CommandArrived,
+                               InForceQueried,
+                               StopRequested,
+                               Tick>;
+
+struct Event
+{
+  Instant now_;
+  std::uint64_t entropy_ = 0;
+  /** Wall clock, milliseconds since 1970; only for the audit trail. */
+  std::uint64_t wallTimeMs_ = 0;
+  EventBody body_;
+
+  bool operator==(const Event&) const = default;
+};
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Inbound.cpp
@@ -0,0 +1,550 @@
+#include "policy/Inbound.h"
+
+#include "policy/Outbound.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+namespace {
+
+/** Bodies above this are sent in parts, so that small answers are not held up behind them. */
+constexpr std::size_t kAnswerPartBytes = 16U << 10;
+
+/** How long a running request with a ticket may outlive its deadline before its answer counts as
+ * lost. Its answer is still wanted for repeats. */
+constexpr Duration kTicketRunGrace = std::chrono::seconds(60);
+
+void
+Send(ReduceContext& aContext, const Requester& aRequester, PeerMessage aMessage)
+{
+  if (aRequester.link_ == LinkId{}) {
+    aContext.local_.push_back({ std::move(aMessage) });
+    return;
+  }
+  aContext.effects_.push_back(SendToLink{ aRequester.link_, std::move(aMessage) });
+}
+
+void
+SendAnswer(ReduceContext& aContext, const Requester& aRequester, CallAnswer aAnswer)
+{
+  aAnswer.bodyBytes_ = aAnswer.answer_.body_.size();
+  if (aRequester.link_ == LinkId{} || aAnswer.bodyBytes_ <= kAnswerPartBytes) {
+    Send(aContext, aRequester, std::move(aAnswer));
+    return;
+  }
+  const AttemptId attempt = aAnswer.attempt_;
+  const std::string body = std::move(aAnswer.answer_.body_);
+  aAnswer.answer_.body_ = body.substr(0, kAnswerPartBytes);
+  Send(aContext, aRequester, std::move(aAnswer));
+  for (std::size_t offset = kAnswerPartBytes; offset < body.size(); offset += kAnswerPartBytes) {
+    Send(aContext,
+         aRequester,
+         CallAnswerPart{ attempt, offset, body.substr(offset, kAnswerPartBytes) });
+  }
+}
+
+void
+SendRefusal(NodeState& aState,
+            ReduceContext& aContext,
+            const Requester& aRequester,
+            Refusal aRefusal,
+            std::uint32_t aReturnedTokens,
+            NodeId aSuccessor = {})
+{
+  if (aRefusal.verdict_ == Verdict::kNotRun && !aRefusal.retryAfter_) {
+    aRefusal.retryAfter_ = aContext.random_.Jitter(RetryAfterHint(aState.admission_));
+  }
+  Send(aContext,
+       aRequester,
+       CallRefused{
+         aRequester.attempt_, aRefusal, aReturnedTokens, aSuccessor, MakeLoadReport(aState) });
+}
+
+void
+CountRefusal(NodeState& aState,
+             ReduceContext& aContext,
+             const Request& aRequest,
+             const Refusal& aRefusal)
+{
+  const bool isDeclared = FindKind(ConfigOf(aState), aRequest.service_, aRequest.kind_) != nullptr;
+  NoteRefusal(aState.counters_,
+              { RefusalSide::kInbound,
+                isDeclared ? aRequest.service_ : "",
+                isDeclared ? aRequest.kind_ : "",
+                aRequest.importance_,
+                aRefusal.verdict_,
+                aRefusal.reason_ },
+              aRequest.clickId_,
+              aContext.now_);
+}
+
+/** Removes the request and returns it. Its tokens go back to the requester. */
+struct RemovedRequest
+{
+  InboundRequest request_;
+  std::uint32_t tokens_ = 0;
+};
+
+std::optional<RemovedRequest>
+Remove(NodeState& aState, RequestId aId)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return std::nullopt;
+  }
+  RemovedRequest removed{ std::move(found->second), 0 };
+  aState.inbound_.requests_.erase(found);
+  if (removed.request_.requester_) {
+    aState.inbound_.byRequester_.erase(*removed.request_.requester_);
+  }
+  if (removed.request_.phase_ == InboundPhase::kJoined) {
+    removed.tokens_ = removed.request_.joinedTokens_;
+  } else {
+    removed.tokens_ =
+      Apply(aState.budget_, ClosePool(std::move(aState.budget_), PoolId{ aId.value_ }));
+  }
+  return removed;
+}
+
+/** Ends a request without an answer and tells its requester. */
+void
+EndRefused(NodeState& aState, ReduceContext& aContext, RequestId aId, Refusal aRefusal)
+{
+  const auto removed = Remove(aState, aId);
+  if (!removed) {
+    return;
+  }
+  CountRefusal(aState, aContext, removed->request_.request_, aRefusal);
+  CancelCallsOfParent(aState, aContext, aId);
+  if (removed->request_.requester_) {
+    SendRefusal(aState, aContext, *removed->request_.requester_, aRefusal, removed->tokens_);
+  }
+}
+
+void
+EndAnswered(NodeState& aState, ReduceContext& aContext, RequestId aId, const Answer& aAnswer)
+{
+  const auto removed = Remove(aState, aId);
+  if (!removed) {
+    return;
+  }
+  CancelCallsOfParent(aState, aContext, aId);
+  if (removed->request_.requester_) {
+    const Requester& requester = *removed->request_.requester_;
+    SendAnswer(aContext,
+               requester,
+               { requester.attempt_, aAnswer, 0, removed->tokens_, MakeLoadReport(aState) });
+  }
+}
+
+/** Ends a request that has not been passed to the backend server. */
+void
+EndNotRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  const Refusal refusal{ Verdict::kNotRun, aReason, std::nullopt };
+  Waiters waiters{ aId };
+  if (const auto& ticket = found->second.request_.ticket_) {
+    waiters = Apply(aState.tickets_, CloseTicket(std::move(aState.tickets_), *ticket, aReason));
+  }
+  for (const RequestId waiter : waiters) {
+    EndRefused(aState, aContext, waiter, refusal);
+  }
+}
+
+/** Ends a request whose answer was lost. */
+void
+EndMayHaveRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  const Refusal refusal{ Verdict::kMayHaveRun, aReason, std::nullopt };
+  Waiters waiters{ aId };
+  if (const auto& ticket = found->second.request_.ticket_) {
+    waiters = Apply(aState.tickets_, AbandonTicket(std::move(aState.tickets_), *ticket, aReason));
+  }
+  for (const RequestId waiter : waiters) {
+    EndRefused(aState, aContext, waiter, refusal);
+  }
+  // The request itself is no waiter when its requester went away.
+  EndRefused(aState, aContext, aId, refusal);
+}
+
+void
+FinishAdmission(NodeState& aState, ReduceContext& aContext, RequestId aId, CompletionKind aKind)
+{
+  ApplyAdmission(
+    aState,
+    aContext,
+    Apply(aState.admission_, Finish(std::move(aState.admission_), aId, aKind, aContext.now_)));
+}
+
+void
+StartRequest(NodeState& aState, ReduceContext& aContext, RequestId aId)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
+    return;
+  }
+  InboundRequest& request = found->second;
+  if (aContext.now_ >= request.deadline_) {
+    EndNotRun(aState, aContext, aId, Reason::kDeadline);
+    FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
+    return;
+  }
+  if (request.request_.ticket_ &&
+      !Apply(aState.tickets_, StartTicket(std::move(aState.tickets_), *request.request_.ticket_))) {
+    EndNotRun(aState, aContext, aId, Reason::kTicketClosed);
+    FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
+    return;
+  }
+  request.phase_ = InboundPhase::kRunning;
+  request.startedAt_ = aContext.now_;
+  aState.counters_.Add(CounterId::kBackendStarts);
+  aContext.effects_.push_back(
+    CallBackend{ { aId, request.request_, request.deadline_ - aContext.now_ } });
+}
+
+/** The reason to refuse a call before tickets and admission are asked. */
+std::optional<Refusal>
+CheckCall(const NodeState& aState, const CallRequest& aCall)
+{
+  const Request& request = aCall.request_;
+  if (request.service_ != aState.settings_.identity_.service_) {
+    return Refusal{ Verdict::kNotRun, Reason::kUnknownService, std::nullopt };
+  }
+  const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
+  if (kind == nullptr) {
+    return Refusal{ Verdict::kNotRun, Reason::kUnknownKind, std::nullopt };
+  }
+  if (!kind->idempotent_ && !request.ticket_) {
+    return Refusal{ Verdict::kNotRun, Reason::kTicketNeeded, std::nullopt };
+  }
+  if (request.ticket_ && !IsAuthentic(aState.settings_.clusterKey_,
+                                      { request.service_, request.kind_ },
+                                      *request.ticket_)) {
+    return Refusal{ Verdict::kNotRun, Reason::kTicketInvalid, std::nullopt };
+  }
+  if (request.depth_ > kMaxDepth) {
+    return Refusal{ Verdict::kNotRun, Reason::kTooDeep, std::nullopt };
+  }
+  return std::nullopt;
+}
+
+/** Why new work is refused now, ticket or not; nullopt when it is taken. */
+std::optional<Reason>
+ReasonAgainstNewWork(const NodeState& aState, const ReduceContext& aContext)
+{
+  if (!AcceptsNewWork(aState, aContext.now_)) {
+    return IsDraining(aState) ? Reason::kDraining : Reason::kBackendUnreachable;
+  }
+  if (aState.inbound_.requests_.size() >= kMaxInboundRequests) {
+    return Reason::kShedByQueue;
+  }
+  return std::nullopt;
+}
+
+Arrival
+MakeArrival(const NodeState& aState, RequestId aId, const InboundRequest& aRequest)
+{
+  const Request& request = aRequest.request_;
+  const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
+  return { aId,
+           StableHash(request.kind_),
+           request.importance_,
+           ClickBucket(request.clickId_),
+           aRequest.deadline_,
+           kind != nullptr && kind->longRunning_ };
+}
+
+/** Registers the request, so that an outcome can be sent to its requester. */
+void
+Register(NodeState& aState,
+         ReduceContext& aContext,
+         RequestId aId,
+         Requester aRequester,
+         const CallRequest& aCall,
+         InboundPhase aPhase)
+{
+  InboundRequest request;
+  request.request_ = aCall.request_;
+  request.phase_ = aPhase;
+  request.requester_ = aRequester;
+  request.deadline_ = aContext.now_ + aCall.remaining_;
+  if (aPhase == InboundPhase::kJoined) {
+    request.joinedTokens_ = aCall.lentTokens_;
+  } else {
+    aState.budget_ = OpenPool(std::move(aState.budget_), PoolId{ aId.value_ }, aCall.lentTokens_);
+  }
+  aState.inbound_.requests_.emplace(aId, std::move(request));
+  aState.inbound_.byRequester_.emplace(aRequester, aId);
+}
+
+/** Registers a request that has been cleared to run and offers it to admission. */
+void
+Enqueue(NodeState& aState,
+        ReduceContext& aContext,
+        RequestId aId,
+        Requester aRequester,
+        const CallRequest& aCall)
+{
+  Register(aState, aContext, aId, aRequester, aCall, InboundPhase::kQueued);
+  if (const auto reason = ReasonAgainstNewWork(aState, aContext)) {
+    EndNotRun(aState, aContext, aId, *reason);
+    return;
+  }
+  const Arrival arrival = MakeArrival(aState, aId, aState.inbound_.requests_.at(aId));
+  ApplyAdmission(
+    aState,
+    aContext,
+    Apply(aState.admission_, Offer(std::move(aState.admission_), arrival, aContext.now_)));
+}
+
+void
+PresentCall(NodeState& aState,
+            ReduceContext& aContext,
+            RequestId aId,
+            Requester aRequester,
+            const CallRequest& aCall)
+{
+  const TicketDecision decision = Apply(aState.tickets_,
+                                        PresentTicket(std::move(aState.tickets_),
+                                                      *aCall.request_.ticket_,
+                                                      RequestDigest(aCall.request_),
+                                                      aId,
+                                                      aContext.now_));
+  switch (decision.action_) {
+    case TicketAction::kRun:
+      Enqueue(aState, aContext, aId, aRequester, aCall);
+      return;
+    case TicketAction::kJoined:
+      Register(aState, aContext, aId, aRequester, aCall, InboundPhase::kJoined);
+      return;
+    case TicketAction::kReplay:
+      SendAnswer(
+        aContext,
+        aRequester,
+        { aRequester.attempt_, *decision.answer_, 0, aCall.lentTokens_, MakeLoadReport(aState) });
+      return;
+    case TicketAction::kRefuse:
+      CountRefusal(aState, aContext, aCall.request_, decision.refusal_);
+      SendRefusal(
+        aState, aContext, aRequester, decision.refusal_, aCall.lentTokens_, decision.successor_);
+      return;
+  }
+}
+
+/** A queued request that nobody waits for any more is withdrawn. */
+void
+WithdrawQueued(NodeState& aState, ReduceContext& aContext, RequestId aId)
+{
+  EndNotRun(aState, aContext, aId, Reason::kCancelled);
+  EndRefused(aState, aContext, aId, { Verdict::kNotRun, Reason::kCancelled, std::nullopt });
+  ApplyAdmission(
+    aState,
+    aContext,
+    Apply(aState.admission_, Withdraw(std::move(aState.admission_), aId, aContext.now_)));
+}
+
+void
+CancelRunning(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  aContext.effects_.push_back(CancelBackend{ aId });
+  EndMayHaveRun(aState, aContext, aId, aReason);
+  FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
+}
+
+/** The request whose queue place or backend work the ticket's waiters share. */
+std::optional<RequestId>
+FindPrimary(const NodeState& aState, const Ticket& aTicket)
+{
+  for (const auto& [id, request] : aState.inbound_.requests_) {
+    if (request.phase_ != InboundPhase::kJoined && request.request_.ticket_ == aTicket) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+LeaveWithTicket(NodeState& aState, ReduceContext& aContext, RequestId aId, const Ticket& aTicket)
+{
+  const std::size_t left =
+    Apply(aState.tickets_, LeaveTicket(std::move(aState.tickets_), aTicket, aId));
+  InboundRequest& request = aState.inbound_.requests_.at(aId);
+  if (request.phase_ == InboundPhase::kJoined) {
+    Remove(aState, aId);
+  }
+  if (left > 0) {
+    return;
+  }
+  const auto primary = FindPrimary(aState, aTicket);
+  if (primary && aState.inbound_.requests_.at(*primary).phase_ == InboundPhase::kQueued) {
+    WithdrawQueued(aState, aContext, *primary);
+  }
+}
+
+} // namespace
+
+LoadReport
+MakeLoadReport(const NodeState& aState)
+{
+  return { LevelOf(aState.admission_),
+           LimitOf(aState.admission_),
+           RunningCount(aState.admission_),
+           QueuedCount(aState.admission_) };
+}
+
+const InboundRequest*
+FindRunning(const NodeState& aState, RequestId aRequest)
+{
+  const auto found = aState.inbound_.requests_.find(aRequest);
+  if (found == aState.inbound_.requests_.end() || found->second.phase_ != InboundPhase::kRunning) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void
+HandleCallRequest(NodeState& aState,
+                  ReduceContext& aContext,
+                  Requester aRequester,
+                  const CallRequest& aCall)
+{
+  if (aState.inbound_.byRequester_.contains(aRequester)) {
+    return; // A duplicate of a frame that was handled before.
+  }
+  if (const auto refusal = CheckCall(aState, aCall)) {
+    CountRefusal(aState, aContext, aCall.request_, *refusal);
+    SendRefusal(aState, aContext, aRequester, *refusal, aCall.lentTokens_);
+    return;
+  }
+  const RequestId id{ aContext.random_.Next() };
+  if (aCall.request_.ticket_) {
+    PresentCall(aState, aContext, id, aRequester, aCall);
+  } else {
+    Enqueue(aState, aContext, id, aRequester, aCall);
+  }
+}
+
+void
+HandleCallCancelled(NodeState& aState, ReduceContext& aContext, Requester aRequester)
+{
+  const auto found = aState.inbound_.byRequester_.find(aRequester);
+  if (found == aState.inbound_.byRequester_.end()) {
+    return;
+  }
+  const RequestId id = found->second;
+  aState.inbound_.byRequester_.erase(found);
+  InboundRequest& request = aState.inbound_.requests_.at(id);
+  request.requester_.reset();
+  aState.counters_.Add(CounterId::kCancellations);
+  if (request.request_.ticket_) {
+    const Ticket ticket = *request.request_.ticket_;
+    LeaveWithTicket(aState, aContext, id, ticket);
+  } else if (request.phase_ == InboundPhase::kQueued) {
+    WithdrawQueued(aState, aContext, id);
+  } else {
+    CancelRunning(aState, aContext, id, Reason::kCancelled);
+  }
+}
+
+void
+HandleLinkClosed(NodeState& aState, ReduceContext& aContext, LinkId aLink)
+{
+  std::vector<Requester> requesters;
+  for (auto entry = aState.inbound_.byRequester_.lower_bound(Requester{ aLink, {} });
+       entry != aState.inbound_.byRequester_.end() && entry->first.link_ == aLink;
+       ++entry) {
+    requesters.push_back(entry->first);
+  }
+  for (const Requester& requester : requesters) {
+    HandleCallCancelled(aState, aContext, requester);
+  }
+}
+
+void
+HandleBackendAnswered(NodeState& aState, ReduceContext& aContext, const BackendAnswered& aEvent)
+{
+  const auto found = aState.inbound_.requests_.find(aEvent.request_);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  aState.counters_.Add(CounterId::kBackendAnswers);
+  const auto ticket = found->second.request_.ticket_;
+  constexpr std::uint16_t kFirstServerError = 500;
+  const bool hasFailed = aEvent.refused_ || aEvent.answer_.status_ >= kFirstServerError;
+  if (aEvent.refused_) {
+    EndNotRun(aState, aContext, aEvent.request_, Reason::kShedByQueue);
+    EndRefused(
+      aState, aContext, aEvent.request_, { Verdict::kNotRun, Reason::kShedByQueue, std::nullopt });
+  } else if (ticket) {
+    const Waiters waiters =
+      Apply(aState.tickets_, CompleteTicket(std::move(aState.tickets_), *ticket, aEvent.answer_));
+    for (const RequestId waiter : waiters) {
+      EndAnswered(aState, aContext, waiter, aEvent.answer_);
+    }
+    EndAnswered(aState, aContext, aEvent.request_, aEvent.answer_);
+  } else {
+    EndAnswered(aState, aContext, aEvent.request_, aEvent.answer_);
+  }
+  FinishAdmission(aState,
+                  aContext,
+                  aEvent.request_,
+                  hasFailed ? CompletionKind::kFailed : CompletionKind::kSucceeded);
+}
+
+void
+HandleBackendFailed(NodeState& aState, ReduceContext& aContext, const BackendFailed& aEvent)
+{
+  if (!aState.inbound_.requests_.contains(aEvent.request_)) {
+    return;
+  }
+  aState.counters_.Add(CounterId::kBackendFailures);
+  if (aEvent.written_) {
+    EndMayHaveRun(aState, aContext, aEvent.request_, Reason::kBackendLost);
+  } else {
+    EndNotRun(aState, aContext, aEvent.request_, Reason::kBackendUnreachable);
+    EndRefused(aState,
+               aContext,
+               aEvent.request_,
+               { Verdict::kNotRun, Reason::kBackendUnreachable, std::nullopt });
+  }
+  FinishAdmission(aState, aContext, aEvent.request_, CompletionKind::kFailed);
+}
+
+void
+ApplyAdmission(NodeState& aState, ReduceContext& aContext, const AdmissionDecision& aDecision)
+{
+  for (const ShedRequest& shed : aDecision.shed_) {
+    EndNotRun(aState, aContext, shed.id_, shed.reason_);
+  }
+  for (const RequestId id : aDecision.start_) {
+    StartRequest(aState, aContext, id);
+  }
+}
+
+void
+AdvanceInbound(NodeState& aState, ReduceContext& aContext)
+{
+  std::vector<RequestId> expired;
+  for (const auto& [id, request] : aState.inbound_.requests_) {
+    const Duration grace = request.request_.ticket_ ? kTicketRunGrace : Duration(0);
+    if (request.phase_ == InboundPhase::kRunning && aContext.now_ >= request.deadline_ + grace) {
+      expired.push_back(id);
+    }
+  }
+  std::sort(expired.begin(), expired.end());
+  for (const RequestId id : expired) {
+    CancelRunning(aState, aContext, id, Reason::kDeadline);
+  }
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Outbound.cpp
@@ -0,0 +1,540 @@
+#include "policy/Outbound.h"
+
+#include "policy/Inbound.h"
+#include "policy/OutboundCalls.h"
+#include "policy/RouteCandidates.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fulmarway {
+
+namespace {
+
+/** Longest chain of planned stops that one call follows. */
+constexpr std::uint32_t kMaxRedirects = 4;
+
+/** Delay before a ticket is presented again after its connection was lost; doubled each time. */
+constexpr Duration kFirstTicketRepeat = std::chrono::milliseconds(50);
+constexpr std::uint32_t kMaxRepeatDoublings = 4;
+
+Refusal
+NotRun(Reason aReason)
+{
+  return { Verdict::kNotRun, aReason, std::nullopt };
+}
+
+/** The reason to refuse a request before a call is made for it. */
+std::optional<Refusal>
+CheckRequest(const NodeState& aState, const CallerRequest& aRequest)
+{
+  const Configuration& config = ConfigOf(aState);
+  if (!config.services_.contains(aRequest.service_)) {
+    return NotRun(Reason::kUnknownService);
+  }
+  if (FindKind(config, aRequest.service_, aRequest.kind_) == nullptr) {
+    return NotRun(Reason::kUnknownKind);
+  }
+  if (aRequest.ticket_ && !IsAuthentic(aState.settings_.clusterKey_,
+                                       { aRequest.service_, aRequest.kind_ },
+                                       *aRequest.ticket_)) {
+    return NotRun(Reason::kTicketInvalid);
+  }
+  if (aRequest.parent_) {
+    const InboundRequest* parent = FindRunning(aState, *aRequest.parent_);
+    if (parent == nullptr) {
+      return NotRun(Reason::kCancelled);
+    }
+    if (parent->request_.depth_ >= kMaxDepth) {
+      return NotRun(Reason::kTooDeep);
+    }
+  }
+  if (aState.outbound_.calls_.size() >= kMaxOutboundCalls) {
+    return NotRun(Reason::kShedByQueue);
+  }
+  return std::nullopt;
+}
+
+/** Answers GET /v1/ticket. */
+void
+ReplyTicket(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
+{
+  const CallerRequest& request = aEvent.request_;
+  auto ticket = IssueTicketFor(aState, aContext, request.service_, request.kind_);
+  if (!ticket) {
+    RefuseRequest(aState, aContext, aEvent, NotRun(Reason::kNoBackendServer));
+    return;
+  }
+  CallerReply reply;
+  reply.outcome_ = { Verdict::kRan, Reason::kNone, std::nullopt };
+  reply.answer_ = Answer{ 200, "text/plain", FormatTicket(*ticket) + "\n" };
+  reply.ticket_ = std::move(ticket);
+  aContext.effects_.push_back(ReplyToCaller{ aEvent.exchange_, std::move(reply) });
+}
+
+Request
+MakeRequest(const NodeState& aState, ReduceContext& aContext, const CallerRequest& aOrigin)
+{
+  Request request;
+  request.service_ = aOrigin.service_;
+  request.kind_ = aOrigin.kind_;
+  request.importance_ = FindKind(ConfigOf(aState), aOrigin.service_, aOrigin.kind_)->importance_;
+  request.method_ = aOrigin.method_;
+  request.target_ = aOrigin.target_;
+  request.contentType_ = aOrigin.contentType_;
+  request.body_ = aOrigin.body_;
+  request.ticket_ = aOrigin.ticket_;
+  if (const auto& parent = aOrigin.parent_) {
+    const Request& outer = FindRunning(aState, *parent)->request_;
+    request.clickId_ = outer.clickId_;
+    request.importance_ = outer.importance_;
+    request.depth_ = static_cast<std::uint8_t>(outer.depth_ + 1);
+  } else {
+    request.clickId_ = aOrigin.clickId_.value_or(ToHex(aContext.random_.Next()));
+  }
+  return request;
+}
+
+/** Records the child ticket of a deeper call; false when there is no possible executor. */
+bool
+AssignChildTicket(NodeState& aState, ReduceContext& aContext, OutboundCall& aCall)
+{
+  const Request& outer = FindRunning(aState, *aCall.origin_.parent_)->request_;
+  if (!outer.ticket_ || !aCall.origin_.callIndex_) {
+    return false;
+  }
+  auto proposed = IssueTicketFor(aState, aContext, aCall.request_.service_, aCall.request_.kind_);
+  if (!proposed) {
+    return false;
+  }
+  const auto ticket = Apply(aState.tickets_,
+                            ChildTicket(std::move(aState.tickets_),
+                                        { *outer.ticket_, *aCall.origin_.callIndex_, *proposed }));
+  aCall.request_.ticket_ = ticket;
+  return ticket.has_value();
+}
+
+/** Deadline of the call: the smaller of its own and its parent's. */
+Instant
+DeadlineOf(const NodeState& aState, const ReduceContext& aContext, const CallerRequest& aOrigin)
+{
+  const KindSpec& kind = *FindKind(ConfigOf(aState), aOrigin.service_, aOrigin.kind_);
+  const Instant own = aContext.now_ + aOrigin.deadline_.value_or(kind.deadline_);
+  if (!aOrigin.parent_) {
+    return own;
+  }
+  return std::min(own, FindRunning(aState, *aOrigin.parent_)->deadline_);
+}
+
+OutboundCall
+MakeCall(NodeState& aState, ReduceContext& aContext, CallId aId, const CallerRequestArrived& aEvent)
+{
+  const CallerRequest& origin = aEvent.request_;
+  const KindSpec& kind = *FindKind(ConfigOf(aState), origin.service_, origin.kind_);
+  OutboundCall call;
+  call.exchange_ = aEvent.exchange_;
+  call.request_ = MakeRequest(aState, aContext, origin);
+  call.origin_ = origin;
+  call.origin_.body_.clear();
+  call.idempotent_ = kind.idempotent_;
+  call.startedAt_ = aContext.now_;
+  call.deadline_ = DeadlineOf(aState, aContext, origin);
+  call.ownsPool_ = !origin.parent_;
+  call.pool_ = PoolId{ call.ownsPool_ ? aId.value_ : origin.parent_->value_ };
+  if (call.ownsPool_) {
+    const std::uint32_t tokens = origin.attempt_ == 1 ? kind.extraAttempts_ : 0;
+    aState.budget_ = OpenPool(std::move(aState.budget_), call.pool_, tokens);
+  }
+  return call;
+}
+
+/** Refuses a request of a kind that needs a ticket and has none. */
+void
+RefuseWithTicket(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
+{
+  const CallerRequest& request = aEvent.request_;
+  auto ticket = IssueTicketFor(aState, aContext, request.service_, request.kind_);
+  const Reason reason = ticket ? Reason::kTicketNeeded : Reason::kNoBackendServer;
+  RefuseRequest(aState, aContext, aEvent, NotRun(reason), std::move(ticket));
+}
+
+/** Whether the caller's repeat is refused; the verdict is about the ticket when there is one. */
+bool
+RefuseRepeat(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
+{
+  const CallerRequest& request = aEvent.request_;
+  if (request.parent_ ||
+      Apply(aState.budget_,
+            AdmitAttempt(std::move(aState.budget_), request.callerAddress_, request.attempt_))) {
+    return false;
+  }
+  const Verdict verdict = request.ticket_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  RefuseRequest(
+    aState,
+    aContext,
+    aEvent,
+    { verdict, Reason::kRepeatLimit, aContext.random_.Jitter(std::chrono::seconds(1)) });
+  return true;
+}
+
+AttemptReport
+MakeReport(const ReduceContext& aContext,
+           const Attempt& aAttempt,
+           AttemptOutcome aOutcome,
+           std::optional<LoadReport> aLoad)
+{
+  return { aAttempt.target_, aOutcome, aContext.now_ - aAttempt.startedAt_, aLoad };
+}
+
+void
+ReportAttempt(NodeState& aState,
+              ReduceContext& aContext,
+              const std::string& aService,
+              const AttemptReport& aReport)
+{
+  aState.routing_ = NoteAttemptEnd(
+    std::move(aState.routing_), aReport, CandidatesFor(aState, aService), aContext.now_);
+}
+
+std::optional<CallId>
+CallOfAttempt(const NodeState& aState, AttemptId aAttempt)
+{
+  const auto found = aState.outbound_.byAttempt_.find(aAttempt);
+  if (found == aState.outbound_.byAttempt_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+FinishAnswer(NodeState& aState, ReduceContext& aContext, CallId aCall, CallAnswer aAnswer)
+{
+  const Attempt attempt = *CloseAttempt(aState, aAnswer.attempt_);
+  aState.budget_ = SettleLoan(std::move(aState.budget_), aAnswer.attempt_, aAnswer.returnedTokens_);
+  aState.budget_ = NoteSuccess(std::move(aState.budget_));
+  ReportAttempt(aState,
+                aContext,
+                aState.outbound_.calls_.at(aCall).request_.service_,
+                MakeReport(aContext, attempt, AttemptOutcome::kSucceeded, aAnswer.load_));
+  ReplyAnswer(aState, aContext, aCall, std::move(aAnswer.answer_));
+}
+
+/** Whether another attempt can change the outcome. */
+bool
+IsWorthRetry(Reason aReason)
+{
+  switch (aReason) {
+    case Reason::kUnknownKind:
+    case Reason::kTooLarge:
+    case Reason::kTicketNeeded:
+    case Reason::kTicketInvalid:
+    case Reason::kTooDeep:
+    case Reason::kDeadline:
+    case Reason::kCancelled:
+      return false;
+    default:
+      return true;
+  }
+}
+
+/** Spends a token and tries another target; ends the call when that is not possible. */
+void
+RetryOrEnd(NodeState& aState, ReduceContext& aContext, CallId aCall, Refusal aRefusal)
+{
+  const OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  if (!call.attempts_.empty()) {
+    return; // The hedge or the first attempt is still under way.
+  }
+  if (aContext.now_ < call.deadline_ && IsWorthRetry(aRefusal.reason_) &&
+      Apply(aState.budget_, SpendToken(std::move(aState.budget_), call.pool_))) {
+    aState.counters_.Add(CounterId::kRetries);
+    TryTarget(aState, aContext, aCall);
+    return;
+  }
+  ReplyRefusal(aState, aContext, aCall, aRefusal);
+}
+
+/** Presents the ticket again after a delay that doubles each time. */
+void
+ScheduleTicketRepeat(ReduceContext& aContext, OutboundCall& aCall)
+{
+  const Duration delay =
+    kFirstTicketRepeat * (1 << std::min(aCall.ticketRepeats_, kMaxRepeatDoublings));
+  ++aCall.ticketRepeats_;
+  aCall.repeatAt_ = aContext.now_ + aContext.random_.Jitter(delay);
+}
+
+/** A refusal of the executor, which speaks about the ticket. */
+void
+EndTicketAttempt(NodeState& aState,
+                 ReduceContext& aContext,
+                 CallId aCall,
+                 const CallRefused& aRefused)
+{
+  OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  if (aRefused.refusal_.reason_ == Reason::kTicketMoved && aRefused.successor_ != NodeId{} &&
+      call.redirects_ < kMaxRedirects && aContext.now_ < call.deadline_) {
+    ++call.redirects_;
+    aState.counters_.Add(CounterId::kTicketRedirects);
+    if (!PeerAddressOf(aState, aRefused.successor_).empty() ||
+        aRefused.successor_ == aState.settings_.identity_.id_) {
+      SendAttempt(aState, aContext, aCall, aRefused.successor_, false);
+      return;
+    }
+  }
+  if (aRefused.refusal_.reason_ == Reason::kTicketOfLostExecutor && call.redirects_ > 0) {
+    // The successor has not received the ticket tables yet.
+    call.redirects_ = 0;
+    ScheduleTicketRepeat(aContext, call);
+    return;
+  }
+  if (aRefused.refusal_.verdict_ == Verdict::kNotRun) {
+    // The executor speaks for the ticket, whatever became of earlier attempts.
+    call.mayHaveRun_ = false;
+    if (const auto& parent = call.origin_.parent_; parent && call.origin_.callIndex_) {
+      if (const InboundRequest* outer = FindRunning(aState, *parent);
+          outer != nullptr && outer->request_.ticket_) {
+        aState.tickets_ = ReleaseChildTicket(
+          std::move(aState.tickets_), *outer->request_.ticket_, *call.origin_.callIndex_);
+      }
+    }
+  }
+  ReplyRefusal(aState, aContext, aCall, aRefused.refusal_);
+}
+
+void
+LoseAttempt(NodeState& aState, ReduceContext& aContext, AttemptId aAttempt, bool aWritten)
+{
+  const auto callId = CallOfAttempt(aState, aAttempt);
+  if (!callId) {
+    return;
+  }
+  const Attempt attempt = *CloseAttempt(aState, aAttempt);
+  OutboundCall& call = aState.outbound_.calls_.at(*callId);
+  if (aWritten) {
+    aState.budget_ = ForfeitLoan(std::move(aState.budget_), aAttempt);
+    call.mayHaveRun_ = true;
+  } else {
+    // Nothing was written, so the whole loan is still here.
+    aState.budget_ =
+      SettleLoan(std::move(aState.budget_), aAttempt, std::numeric_limits<std::uint32_t>::max());
+  }
+  ReportAttempt(aState,
+                aContext,
+                call.request_.service_,
+                MakeReport(aContext, attempt, AttemptOutcome::kFailed, std::nullopt));
+  if (call.request_.ticket_) {
+    ScheduleTicketRepeat(aContext, call);
+    return;
+  }
+  const Verdict verdict = aWritten ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  RetryOrEnd(aState, aContext, *callId, { verdict, Reason::kConnectionLost, std::nullopt });
+}
+
+void
+EndAtDeadline(NodeState& aState, ReduceContext& aContext, CallId aCall)
+{
+  OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  // An attempt without an outcome may be running, or may still arrive.
+  call.mayHaveRun_ = call.mayHaveRun_ || !call.attempts_.empty();
+  CancelAttempts(aState, aContext, aCall, AttemptOutcome::kFailed);
+  const Verdict verdict = call.mayHaveRun_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  ReplyRefusal(aState, aContext, aCall, { verdict, Reason::kDeadline, std::nullopt });
+}
+
+/** Sends a second attempt when the first takes unusually long. */
+void
+MaybeHedge(NodeState& aState, ReduceContext& aContext, CallId aCall)
+{
+  const OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  if (!call.idempotent_ || call.request_.ticket_ || call.attempts_.size() != 1) {
+    return;
+  }
+  const Attempt& first = call.attempts_.begin()->second;
+  const auto delay = HedgeDelay(aState.routing_, first.target_);
+  if (!delay || aContext.now_ - first.startedAt_ < *delay) {
+    return;
+  }
+  const RouteQuery query{ call.request_.importance_,
+                          ClickBucket(call.request_.clickId_),
+                          call.tried_,
+                          aContext.random_.Next() };
+  const RouteDecision choice = ChooseTarget(
+    aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
+  const bool isOther =
+    choice.verdict_ == RouteVerdict::kChosen &&
+    std::find(call.tried_.begin(), call.tried_.end(), choice.target_) == call.tried_.end();
+  if (!isOther || !Apply(aState.budget_, SpendToken(std::move(aState.budget_), call.pool_))) {
+    return;
+  }
+  aState.counters_.Add(CounterId::kHedges);
+  SendAttempt(aState, aContext, aCall, choice.target_, true);
+}
+
+} // namespace
+
+void
+HandleCallerRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
+{
+  const CallerRequest& request = aEvent.request_;
+  if (const auto refusal = CheckRequest(aState, request)) {
+    RefuseRequest(aState, aContext, aEvent, *refusal);
+    return;
+  }
+  if (request.ticketOnly_) {
+    ReplyTicket(aState, aContext, aEvent);
+    return;
+  }
+  const KindSpec& kind = *FindKind(ConfigOf(aState), request.service_, request.kind_);
+  const bool needsChildTicket = !kind.idempotent_ && !request.ticket_ && request.parent_ &&
+                                request.callIndex_ &&
+                                FindRunning(aState, *request.parent_)->request_.ticket_;
+  if (!kind.idempotent_ && !request.ticket_ && !needsChildTicket) {
+    RefuseWithTicket(aState, aContext, aEvent);
+    return;
+  }
+  if (RefuseRepeat(aState, aContext, aEvent)) {
+    return;
+  }
+  const CallId id{ aState.outbound_.nextId_++ };
+  OutboundCall call = MakeCall(aState, aContext, id, aEvent);
+  const bool hasTicket = !needsChildTicket || AssignChildTicket(aState, aContext, call);
+  aState.outbound_.byExchange_.emplace(call.exchange_, id);
+  aState.outbound_.calls_.emplace(id, std::move(call));
+  aState.counters_.Add(CounterId::kCallsStarted);
+  if (!hasTicket) {
+    ReplyRefusal(aState, aContext, id, NotRun(Reason::kNoBackendServer));
+  } else if (kind.idempotent_ && !request.ticket_) {
+    TryTarget(aState, aContext, id);
+  } else {
+    TryExecutor(aState, aContext, id);
+  }
+}
+
+void
+HandleCallerDisconnected(NodeState& aState, ReduceContext& aContext, ExchangeId aExchange)
+{
+  const auto found = aState.outbound_.byExchange_.find(aExchange);
+  if (found == aState.outbound_.byExchange_.end()) {
+    return;
+  }
+  // The reply goes to a closed exchange, which the event loop ignores.
+  ReplyRefusal(
+    aState, aContext, found->second, { Verdict::kMayHaveRun, Reason::kCancelled, std::nullopt });
+}
+
+void
+HandleCallAnswer(NodeState& aState, ReduceContext& aContext, const CallAnswer& aAnswer)
+{
+  const auto callId = CallOfAttempt(aState, aAnswer.attempt_);
+  if (!callId) {
+    return;
+  }
+  if (aAnswer.answer_.body_.size() == aAnswer.bodyBytes_) {
+    FinishAnswer(aState, aContext, *callId, aAnswer);
+    return;
+  }
+  if (aAnswer.answer_.body_.size() < aAnswer.bodyBytes_ && aAnswer.bodyBytes_ <= kMaxBodyBytes) {
+    aState.outbound_.calls_.at(*callId).attempts_.at(aAnswer.attempt_).partial_ = aAnswer;
+  }
+}
+
+void
+HandleCallAnswerPart(NodeState& aState, ReduceContext& aContext, const CallAnswerPart& aPart)
+{
+  const auto callId = CallOfAttempt(aState, aPart.attempt_);
+  if (!callId) {
+    return;
+  }
+  auto& partial = aState.outbound_.calls_.at(*callId).attempts_.at(aPart.attempt_).partial_;
+  if (!partial || partial->answer_.body_.size() != aPart.offset_ ||
+      aPart.bytes_.size() > partial->bodyBytes_ - aPart.offset_) {
+    return; // A gap or a repeat; the call ends at its deadline rather than with a cut answer.
+  }
+  partial->answer_.body_ += aPart.bytes_;
+  if (partial->answer_.body_.size() == partial->bodyBytes_) {
+    CallAnswer whole = std::move(*partial);
+    FinishAnswer(aState, aContext, *callId, std::move(whole));
+  }
+}
+
+void
+HandleCallRefused(NodeState& aState, ReduceContext& aContext, const CallRefused& aRefused)
+{
+  const auto callId = CallOfAttempt(aState, aRefused.attempt_);
+  if (!callId) {
+    return;
+  }
+  const Attempt attempt = *CloseAttempt(aState, aRefused.attempt_);
+  aState.budget_ =
+    SettleLoan(std::move(aState.budget_), aRefused.attempt_, aRefused.returnedTokens_);
+  OutboundCall& call = aState.outbound_.calls_.at(*callId);
+  const bool isNotRun = aRefused.refusal_.verdict_ == Verdict::kNotRun;
+  ReportAttempt(aState,
+                aContext,
+                call.request_.service_,
+                MakeReport(aContext,
+                           attempt,
+                           isNotRun ? AttemptOutcome::kRefused : AttemptOutcome::kFailed,
+                           aRefused.load_));
+  if (call.request_.ticket_) {
+    EndTicketAttempt(aState, aContext, *callId, aRefused);
+    return;
+  }
+  call.mayHaveRun_ = call.mayHaveRun_ || !isNotRun;
+  RetryOrEnd(aState, aContext, *callId, aRefused.refusal_);
+}
+
+void
+HandlePeerLost(NodeState& aState, ReduceContext& aContext, const PeerLost& aEvent)
+{
+  aState.counters_.Add(CounterId::kPeerConnectionsLost);
+  for (const AttemptId attempt : aEvent.unwritten_) {
+    LoseAttempt(aState, aContext, attempt, false);
+  }
+  for (const AttemptId attempt : aEvent.written_) {
+    LoseAttempt(aState, aContext, attempt, true);
+  }
+}
+
+void
+AdvanceOutbound(NodeState& aState, ReduceContext& aContext)
+{
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : aState.outbound_.calls_) {
+    ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids) {
+    const auto found = aState.outbound_.calls_.find(id);
+    if (found == aState.outbound_.calls_.end()) {
+      continue;
+    }
+    const OutboundCall& call = found->second;
+    if (aContext.now_ >= call.deadline_) {
+      EndAtDeadline(aState, aContext, id);
+    } else if (call.repeatAt_ && aContext.now_ >= *call.repeatAt_) {
+      aState.counters_.Add(CounterId::kTicketRepeats);
+      TryExecutor(aState, aContext, id);
+    } else {
+      MaybeHedge(aState, aContext, id);
+    }
+  }
+}
+
+void
+CancelCallsOfParent(NodeState& aState, ReduceContext& aContext, RequestId aParent)
+{
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : aState.outbound_.calls_) {
+    if (call.origin_.parent_ == aParent) {
+      ids.push_back(id);
+    }
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids) {
+    ReplyRefusal(aState, aContext, id, { Verdict::kMayHaveRun, Reason::kCancelled, std::nullopt });
+  }
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/OutboundCalls.cpp
@@ -0,0 +1,210 @@
+#include "policy/OutboundCalls.h"
+
+#include "policy/RouteCandidates.h"
+
+namespace fulmarway {
+
+namespace {
+
+void
+SendCall(NodeState& aState, ReduceContext& aContext, NodeId aTarget, PeerMessage aMessage)
+{
+  if (aTarget == aState.settings_.identity_.id_) {
+    aContext.local_.push_back({ std::move(aMessage) });
+    return;
+  }
+  aContext.effects_.push_back(
+    SendToPeer{ aTarget, PeerAddressOf(aState, aTarget), std::move(aMessage) });
+}
+
+/** Removes the call and its pool; the tokens of a caller's own request end with it. */
+OutboundCall
+RemoveCall(NodeState& aState, ReduceContext& aContext, CallId aCall)
+{
+  CancelAttempts(aState, aContext, aCall, AttemptOutcome::kCancelled);
+  const auto found = aState.outbound_.calls_.find(aCall);
+  OutboundCall call = std::move(found->second);
+  aState.outbound_.calls_.erase(found);
+  aState.outbound_.byExchange_.erase(call.exchange_);
+  if (call.ownsPool_) {
+    Apply(aState.budget_, ClosePool(std::move(aState.budget_), call.pool_));
+  }
+  return call;
+}
+
+/** The ticket that goes with a reply: the one that was asked for, or one for a new try. */
+std::optional<Ticket>
+TicketForReply(NodeState& aState,
+               ReduceContext& aContext,
+               const OutboundCall& aCall,
+               bool aIsNotRun)
+{
+  const CallerRequest& origin = aCall.origin_;
+  if (!aCall.idempotent_) {
+    return aIsNotRun && !origin.parent_
+             ? IssueTicketFor(aState, aContext, origin.service_, origin.kind_)
+             : std::nullopt;
+  }
+  if (origin.ticketForService_.empty()) {
+    return std::nullopt;
+  }
+  return IssueTicketFor(aState, aContext, origin.ticketForService_, origin.ticketForKind_);
+}
+
+} // namespace
+
+void
+SendAttempt(NodeState& aState, ReduceContext& aContext, CallId aCall, NodeId aTarget, bool aIsHedge)
+{
+  OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  const AttemptId attempt{ aState.outbound_.nextId_++ };
+  call.attempts_.emplace(attempt, Attempt{ aTarget, aContext.now_, aIsHedge, std::nullopt });
+  call.tried_.push_back(aTarget);
+  aState.outbound_.byAttempt_.emplace(attempt, aCall);
+  aState.counters_.Add(CounterId::kAttempts);
+  aState.routing_ = NoteAttemptStart(std::move(aState.routing_), aTarget, aContext.now_);
+  const std::uint32_t tokens =
+    Apply(aState.budget_, LendTokens(std::move(aState.budget_), call.pool_, attempt));
+  SendCall(aState,
+           aContext,
+           aTarget,
+           CallRequest{ attempt, call.request_, call.deadline_ - aContext.now_, tokens });
+}
+
+void
+TryTarget(NodeState& aState, ReduceContext& aContext, CallId aCall)
+{
+  const OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  const RouteQuery query{ call.request_.importance_,
+                          ClickBucket(call.request_.clickId_),
+                          call.tried_,
+                          aContext.random_.Next() };
+  const RouteDecision choice = ChooseTarget(
+    aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
+  if (choice.verdict_ == RouteVerdict::kChosen) {
+    SendAttempt(aState, aContext, aCall, choice.target_, false);
+    return;
+  }
+  const Reason reason =
+    choice.verdict_ == RouteVerdict::kShedByLevel ? Reason::kShedByLevel : Reason::kNoBackendServer;
+  ReplyRefusal(aState, aContext, aCall, { Verdict::kNotRun, reason, std::nullopt });
+}
+
+void
+TryExecutor(NodeState& aState, ReduceContext& aContext, CallId aCall)
+{
+  OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  call.repeatAt_.reset();
+  const ExecutorLookup executor = FindExecutor(aState, *call.request_.ticket_);
+  if (executor.status_ != ExecutorStatus::kLost) {
+    SendAttempt(aState, aContext, aCall, executor.node_, false);
+    return;
+  }
+  // An earlier attempt of the caller may have reached the executor through another entry node.
+  const bool isFirstAttempt = call.origin_.attempt_ == 1;
+  const Verdict verdict = isFirstAttempt ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  ReplyRefusal(aState, aContext, aCall, { verdict, Reason::kTicketOfLostExecutor, std::nullopt });
+}
+
+std::optional<Attempt>
+CloseAttempt(NodeState& aState, AttemptId aAttempt)
+{
+  const auto entry = aState.outbound_.byAttempt_.find(aAttempt);
+  if (entry == aState.outbound_.byAttempt_.end()) {
+    return std::nullopt;
+  }
+  OutboundCall& call = aState.outbound_.calls_.at(entry->second);
+  const auto found = call.attempts_.find(aAttempt);
+  Attempt attempt = std::move(found->second);
+  call.attempts_.erase(found);
+  aState.outbound_.byAttempt_.erase(entry);
+  return attempt;
+}
+
+void
+CancelAttempts(NodeState& aState, ReduceContext& aContext, CallId aCall, AttemptOutcome aOutcome)
+{
+  const OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  std::vector<AttemptId> open;
+  for (const auto& [id, attempt] : call.attempts_) {
+    open.push_back(id);
+  }
+  const std::string service = call.request_.service_;
+  for (const AttemptId id : open) {
+    const Attempt attempt = *CloseAttempt(aState, id);
+    aState.budget_ = ForfeitLoan(std::move(aState.budget_), id);
+    aState.routing_ = NoteAttemptEnd(
+      std::move(aState.routing_),
+      { attempt.target_, aOutcome, aContext.now_ - attempt.startedAt_, std::nullopt },
+      CandidatesFor(aState, service),
+      aContext.now_);
+    SendCall(aState, aContext, attempt.target_, CallCancelled{ id });
+  }
+}
+
+void
+ReplyAnswer(NodeState& aState, ReduceContext& aContext, CallId aCall, Answer aAnswer)
+{
+  const OutboundCall call = RemoveCall(aState, aContext, aCall);
+  aState.counters_.Add(CounterId::kCallsAnswered);
+  CallerReply reply;
+  reply.outcome_ = { Verdict::kRan, Reason::kNone, std::nullopt };
+  reply.answer_ = std::move(aAnswer);
+  reply.clickId_ = call.request_.clickId_;
+  reply.ticket_ = TicketForReply(aState, aContext, call, false);
+  aContext.effects_.push_back(ReplyToCaller{ call.exchange_, std::move(reply) });
+}
+
+void
+ReplyRefusal(NodeState& aState, ReduceContext& aContext, CallId aCall, Refusal aRefusal)
+{
+  const OutboundCall call = RemoveCall(aState, aContext, aCall);
+  if (call.mayHaveRun_ && aRefusal.verdict_ == Verdict::kNotRun) {
+    aRefusal.verdict_ = Verdict::kMayHaveRun;
+  }
+  const bool isNotRun = aRefusal.verdict_ == Verdict::kNotRun;
+  if (isNotRun && !aRefusal.retryAfter_) {
+    aRefusal.retryAfter_ = aContext.random_.Jitter(RetryAfterHint(aState.admission_));
+  }
+  NoteRefusal(aState.counters_,
+              { RefusalSide::kOutbound,
+                call.request_.service_,
+                call.request_.kind_,
+                call.request_.importance_,
+                aRefusal.verdict_,
+                aRefusal.reason_ },
+              call.request_.clickId_,
+              aContext.now_);
+  CallerReply reply;
+  reply.outcome_ = aRefusal;
+  reply.clickId_ = call.request_.clickId_;
+  reply.ticket_ = TicketForReply(aState, aContext, call, isNotRun);
+  aContext.effects_.push_back(ReplyToCaller{ call.exchange_, std::move(reply) });
+}
+
+void
+RefuseRequest(NodeState& aState,
+              ReduceContext& aContext,
+              const CallerRequestArrived& aEvent,
+              Refusal aRefusal,
+              std::optional<Ticket> aFreshTicket)
+{
+  const CallerRequest& request = aEvent.request_;
+  const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
+  NoteRefusal(aState.counters_,
+              { RefusalSide::kOutbound,
+                kind == nullptr ? "" : request.service_,
+                kind == nullptr ? "" : request.kind_,
+                kind == nullptr ? Importance::kNormal : kind->importance_,
+                aRefusal.verdict_,
+                aRefusal.reason_ },
+              request.clickId_.value_or(""),
+              aContext.now_);
+  CallerReply reply;
+  reply.outcome_ = aRefusal;
+  reply.clickId_ = request.clickId_.value_or("");
+  reply.ticket_ = std::move(aFreshTicket);
+  aContext.effects_.push_back(ReplyToCaller{ aEvent.exchange_, std::move(reply) });
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Reducer.cpp
@@ -0,0 +1,188 @@
+#include "policy/Reducer.h"
+
+#include "policy/Control.h"
+#include "policy/Inbound.h"
+#include "policy/Lifecycle.h"
+#include "policy/Outbound.h"
+
+namespace fulmarway {
+
+namespace {
+
+void
+Gossip(NodeState& aState, ReduceContext& aContext, Step<MembershipState, GossipOutput> aStep)
+{
+  ApplyGossipOutput(aState, aContext, Apply(aState.membership_, std::move(aStep)));
+}
+
+/** Bytes from a node that membership does not see as alive are a sign of life. */
+void
+NotePeerAlive(NodeState& aState, ReduceContext& aContext, NodeId aNode)
+{
+  const MemberRecord* member = FindMember(aState.membership_, aNode);
+  if (member != nullptr &&
+      (member->state_ == MemberState::kSuspect || member->state_ == MemberState::kDead)) {
+    Gossip(aState, aContext, NoteAlive(std::move(aState.membership_), aNode, aContext.now_));
+  }
+}
+
+/** Messages that other nodes send on connections that they opened. */
+struct LinkMessageHandler
+{
+  NodeState& state_;
+  ReduceContext& context_;
+  LinkId link_;
+
+  void operator()(const CallRequest& aMessage)
+  {
+    HandleCallRequest(state_, context_, { link_, aMessage.attempt_ }, aMessage);
+  }
+  void operator()(const CallCancelled& aMessage)
+  {
+    HandleCallCancelled(state_, context_, { link_, aMessage.attempt_ });
+  }
+  void operator()(const Handover& aMessage) { HandleHandover(state_, context_, link_, aMessage); }
+  void operator()(const ConfigRequest& aMessage)
+  {
+    HandleConfigRequest(state_, context_, link_, aMessage);
+  }
+  /** Answers do not arrive on accepted connections. */
+  void operator()(const auto&) {}
+};
+
+/** Answers on connections that this node opened. */
+struct PeerMessageHandler
+{
+  NodeState& state_;
+  ReduceContext& context_;
+
+  void operator()(const CallAnswer& aMessage) { HandleCallAnswer(state_, context_, aMessage); }
+  void operator()(const CallAnswerPart& aMessage)
+  {
+    HandleCallAnswerPart(state_, context_, aMessage);
+  }
+  void operator()(const CallRefused& aMessage) { HandleCallRefused(state_, context_, aMessage); }
+  void operator()(const HandoverAccepted& aMessage)
+  {
+    HandleHandoverAccepted(state_, context_, aMessage);
+  }
+  void operator()(const ConfigReply& aMessage) { HandleConfigReply(state_, context_, aMessage); }
+  /** Requests do not arrive on connections that this node opened. */
+  void operator()(const auto&) {}
+};
+
+void
+AdvanceAll(NodeState& aState, ReduceContext& aContext)
+{
+  const Instant now = aContext.now_;
+  if (now >= aState.nextAdmissionAdvanceAt_) {
+    aState.nextAdmissionAdvanceAt_ = now + kAdmissionWindow;
+    ApplyAdmission(
+      aState, aContext, Apply(aState.admission_, Advance(std::move(aState.admission_), now)));
+    aState.tickets_ = AdvanceTickets(std::move(aState.tickets_), now);
+  }
+  AdvanceInbound(aState, aContext);
+  AdvanceOutbound(aState, aContext);
+  AdvanceControl(aState, aContext);
+  AdvanceLifecycle(aState, aContext);
+  if (now >= aState.nextMembershipAdvanceAt_) {
+    constexpr Duration kMembershipInterval = std::chrono::milliseconds(100);
+    aState.nextMembershipAdvanceAt_ = now + kMembershipInterval;
+    Gossip(aState,
+           aContext,
+           SetOwnVersions(std::move(aState.membership_),
+                          ConfigOf(aState).version_,
+                          CurrentEpoch(aState.tickets_, now),
+                          aContext.random_.Next(),
+                          now));
+    Gossip(aState,
+           aContext,
+           AdvanceMembership(std::move(aState.membership_), aContext.random_.Next(), now));
+  }
+}
+
+struct EventHandler
+{
+  NodeState& state_;
+  ReduceContext& context_;
+
+  void operator()(const CallerRequestArrived& aEvent)
+  {
+    HandleCallerRequest(state_, context_, aEvent);
+  }
+  void operator()(const CallerDisconnected& aEvent)
+  {
+    HandleCallerDisconnected(state_, context_, aEvent.exchange_);
+  }
+  void operator()(const LinkMessageArrived& aEvent)
+  {
+    NotePeerAlive(state_, context_, aEvent.from_);
+    std::visit(LinkMessageHandler{ state_, context_, aEvent.link_ }, aEvent.message_);
+  }
+  void operator()(const LinkClosed& aEvent) { HandleLinkClosed(state_, context_, aEvent.link_); }
+  void operator()(const PeerMessageArrived& aEvent)
+  {
+    NotePeerAlive(state_, context_, aEvent.from_);
+    std::visit(PeerMessageHandler{ state_, context_ }, aEvent.message_);
+  }
+  void operator()(const PeerLost& aEvent) { HandlePeerLost(state_, context_, aEvent); }
+  void operator()(const BackendAnswered& aEvent)
+  {
+    HandleBackendAnswered(state_, context_, aEvent);
+  }
+  void operator()(const BackendFailed& aEvent) { HandleBackendFailed(state_, context_, aEvent); }
+  void operator()(const BackendHealthChanged& aEvent)
+  {
+    HandleBackendHealth(state_, context_, aEvent.healthy_);
+  }
+  void operator()(const GossipArrived& aEvent)
+  {
+    state_.counters_.Add(CounterId::kGossipReceived);
+    NoteGossipVersion(state_, context_, aEvent.message_);
+    Gossip(
+      state_,
+      context_,
+      HandleGossip(
+        std::move(state_.membership_), aEvent.message_, context_.random_.Next(), context_.now_));
+  }
+  void operator()(const LogRecordsRead& aEvent) { HandleLogRecordsRead(state_, context_, aEvent); }
+  void operator()(const LogReadFailed&) { HandleLogReadFailed(state_, context_); }
+  void operator()(const AppendFinished& aEvent) { HandleAppendFinished(state_, context_, aEvent); }
+  void operator()(const CommandArrived& aEvent) { HandleCommand(state_, context_, aEvent); }
+  void operator()(const InForceQueried& aEvent) { HandleInForceQuery(state_, context_, aEvent); }
+  void operator()(const StopRequested&) { HandleStopRequested(state_, context_); }
+  void operator()(const Tick&) { AdvanceAll(state_, context_); }
+};
+
+/** Calls between the node's own outbound and inbound roles. */
+void
+HandleLocalMessages(NodeState& aState, ReduceContext& aContext)
+{
+  while (!aContext.local_.empty()) {
+    const LocalMessage local = std::move(aContext.local_.front());
+    aContext.local_.pop_front();
+    const bool isRequest = std::holds_alternative<CallRequest>(local.message_) ||
+                           std::holds_alternative<CallCancelled>(local.message_);
+    if (isRequest) {
+      std::visit(LinkMessageHandler{ aState, aContext, LinkId{} }, local.message_);
+    } else {
+      std::visit(PeerMessageHandler{ aState, aContext }, local.message_);
+    }
+  }
+}
+
+} // namespace
+
+Step<NodeState, Effects>
+Reduce(NodeState aState, const Event& aEvent)
+{
+  ReduceContext context;
+  context.now_ = aEvent.now_;
+  context.wallTimeMs_ = aEvent.wallTimeMs_;
+  context.random_.state_ = aEvent.entropy_;
+  std::visit(EventHandler{ aState, context }, aEvent.body_);
+  HandleLocalMessages(aState, context);
+  return { std::move(aState), std::move(context.effects_) };
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/wire/Frame.cpp
@@ -0,0 +1,150 @@
+#include "wire/Frame.h"
+
+#include "wire/BoundedArchive.h"
+#include "wire/Serialize.h"
+
+#include <cereal/archives/binary.hpp>
+#include <cstring>
+#include <sstream>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kMacBytes = sizeof(Bits128);
+
+template<typename Message>
+std::string
+Serialize(const Message& aMessage)
+{
+  std::ostringstream stream;
+  cereal::BinaryOutputArchive archive(stream);
+  archive(aMessage);
+  return std::move(stream).str();
+}
+
+template<typename Message>
+tl::expected<Message, UserError>
+Deserialize(std::string_view aBytes)
+{
+  try {
+    BoundedInputArchive archive(aBytes);
+    Message message;
+    archive(message);
+    if (archive.Remaining() != 0) {
+      return tl::unexpected(UserError{ "message", "has bytes after its end" });
+    }
+    return message;
+  } catch (const std::exception& error) {
+    return tl::unexpected(UserError{ "message", error.what() });
+  }
+}
+
+std::string
+MacBytes(const ClusterKey& aKey, std::string_view aPayload)
+{
+  const Bits128 mac = ComputeMac(aKey, aPayload);
+  std::string bytes(kMacBytes, '\0');
+  std::memcpy(bytes.data(), &mac, kMacBytes);
+  return bytes;
+}
+
+/** Removes the MAC in front of the payload; an error when it does not match. */
+tl::expected<std::string_view, UserError>
+Authenticate(const ClusterKey& aKey, std::string_view aInput)
+{
+  if (aInput.size() < kMacBytes) {
+    return tl::unexpected(UserError{ "message", "shorter than its MAC" });
+  }
+  Bits128 mac;
+  std::memcpy(&mac, aInput.data(), kMacBytes);
+  aInput.remove_prefix(kMacBytes);
+  if (!MacEquals(mac, ComputeMac(aKey, aInput))) {
+    return tl::unexpected(UserError{ "message", "MAC does not match the cluster key" });
+  }
+  return aInput;
+}
+
+template<typename Message>
+std::string
+Seal(const ClusterKey& aKey, const Message& aMessage)
+{
+  const std::string payload = Serialize(aMessage);
+  return MacBytes(aKey, payload) + payload;
+}
+
+template<typename Message>
+tl::expected<Message, UserError>
+Open(const ClusterKey& aKey, std::string_view aInput)
+{
+  const auto payload = Authenticate(aKey, aInput);
+  if (!payload) {
+    return tl::unexpected(payload.error());
+  }
+  return Deserialize<Message>(*payload);
+}
+
+} // namespace
+
+std::string
+EncodeFrame(const ClusterKey& aKey, const PeerMessage& aMessage)
+{
+  const std::string sealed = Seal(aKey, aMessage);
+  const auto length = static_cast<std::uint32_t>(sealed.size());
+  std::string frame(kLengthBytes, '\0');
+  std::memcpy(frame.data(), &length, kLengthBytes);
+  return frame + sealed;
+}
+
+tl::expected<std::vector<PeerMessage>, UserError>
+DecodeFrames(const ClusterKey& aKey, FrameBuffer& aBuffer, std::string_view aInput)
+{
+  aBuffer.bytes_.append(aInput);
+  std::vector<PeerMessage> messages;
+  std::string_view rest = aBuffer.bytes_;
+  while (rest.size() >= kLengthBytes) {
+    std::uint32_t length = 0;
+    std::memcpy(&length, rest.data(), kLengthBytes);
+    if (length > kMaxFrameBytes + kMacBytes) {
+      return tl::unexpected(UserError{ "frame", "length above the limit" });
+    }
+    if (rest.size() < kLengthBytes + length) {
+      break;
+    }
+    auto message = Open<PeerMessage>(aKey, rest.substr(kLengthBytes, length));
+    if (!message) {
+      return tl::unexpected(message.error());
+    }
+    messages.push_back(std::move(*message));
+    rest.remove_prefix(kLengthBytes + length);
+  }
+  aBuffer.bytes_.erase(0, aBuffer.bytes_.size() - rest.size());
+  return messages;
+}
+
+std::string
+EncodeDatagram(const ClusterKey& aKey, const GossipMessage& aMessage)
+{
+  return Seal(aKey, aMessage);
+}
+
+tl::expected<GossipMessage, UserError>
+DecodeDatagram(const ClusterKey& aKey, std::string_view aInput)
+{
+  return Open<GossipMessage>(aKey, aInput);
+}
+
+std::string
+EncodeLogRecord(const ClusterKey& aKey, const LogRecord& aRecord)
+{
+  return Seal(aKey, aRecord);
+}
+
+tl::expected<LogRecord, UserError>
+DecodeLogRecord(const ClusterKey& aKey, std::string_view aInput)
+{
+  return Open<LogRecord>(aKey, aInput);
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/wire/HttpMapping.cpp
@@ -0,0 +1,300 @@
+#include "wire/HttpMapping.h"
+
+#include <Poco/NumberParser.h>
+#include <algorithm>
+#include <cmath>
+
+namespace fulmarway {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::string_view kCallPrefix = "/v1/call/";
+constexpr std::string_view kTicketPrefix = "/v1/ticket/";
+constexpr unsigned kMaxDeadlineMs = 600'000;
+constexpr unsigned kMaxCallIndex = 10'000;
+constexpr unsigned kMaxAttempt = 1'000;
+constexpr std::size_t kMaxNameBytes = 64;
+
+tl::unexpected<InvalidRequest>
+Invalid(std::uint16_t aStatus, std::string aSubject, std::string aMessage)
+{
+  return tl::unexpected(InvalidRequest{ aStatus, { std::move(aSubject), std::move(aMessage) } });
+}
+
+bool
+IsName(std::string_view aText)
+{
+  const auto isAllowed = [](char aChar) {
+    return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') || aChar == '-';
+  };
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::all_of(aText.begin(), aText.end(), isAllowed);
+}
+
+bool
+IsPrintableToken(std::string_view aText)
+{
+  return std::all_of(
+    aText.begin(), aText.end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
+}
+
+/** Splits "service/kind" and what follows; false when a name is not valid. */
+bool
+SplitServiceKind(std::string_view aPath,
+                 std::string& aService,
+                 std::string& aKind,
+                 std::string& aRest)
+{
+  const std::size_t slash = aPath.find('/');
+  if (slash == std::string_view::npos) {
+    return false;
+  }
+  aService = aPath.substr(0, slash);
+  aPath.remove_prefix(slash + 1);
+  const std::size_t end = std::min(aPath.find_first_of("/?"), aPath.size());
+  aKind = aPath.substr(0, end);
+  aRest = aPath.substr(end);
+  return IsName(aService) && IsName(aKind);
+}
+
+/** Reads an optional header with a number in [aLow, aHigh]. */
+tl::expected<std::optional<unsigned>, InvalidRequest>
+ReadNumber(const HTTPRequest& aHead, const char* aName, unsigned aLow, unsigned aHigh)
+{
+  if (!aHead.has(aName)) {
+    return std::nullopt;
+  }
+  unsigned value = 0;
+  if (!Poco::NumberParser::tryParseUnsigned(aHead.get(aName), value) || value < aLow ||
+      value > aHigh) {
+    return Invalid(400,
+                   aName,
+                   "expected a number from " + std::to_string(aLow) + " to " +
+                     std::to_string(aHigh));
+  }
+  return value;
+}
+
+tl::expected<void, InvalidRequest>
+ReadPath(const HTTPRequest& aHead, CallerRequest& aRequest)
+{
+  std::string_view path = aHead.getURI();
+  if (path.substr(0, kCallPrefix.size()) == kCallPrefix) {
+    path.remove_prefix(kCallPrefix.size());
+  } else if (path.substr(0, kTicketPrefix.size()) == kTicketPrefix) {
+    path.remove_prefix(kTicketPrefix.size());
+    aRequest.ticketOnly_ = true;
+  } else {
+    return Invalid(404, "path", "expected /v1/call/SERVICE/KIND or /v1/ticket/SERVICE/KIND");
+  }
+  if (!SplitServiceKind(path, aRequest.service_, aRequest.kind_, aRequest.target_)) {
+    return Invalid(404, "path", "SERVICE and KIND are made of a-z, 0-9 and '-'");
+  }
+  return {};
+}
+
+tl::expected<void, InvalidRequest>
+ReadNumbers(const HTTPRequest& aHead, CallerRequest& aRequest)
+{
+  const auto deadline = ReadNumber(aHead, header::kDeadline, 1, kMaxDeadlineMs);
+  const auto attempt = ReadNumber(aHead, header::kAttempt, 1, kMaxAttempt);
+  const auto callIndex = ReadNumber(aHead, header::kCallIndex, 0, kMaxCallIndex);
+  for (const auto* number : { &deadline, &attempt, &callIndex }) {
+    if (!*number) {
+      return tl::unexpected(number->error());
+    }
+  }
+  if (*deadline) {
+    aRequest.deadline_ = std::chrono::milliseconds(**deadline);
+  }
+  aRequest.attempt_ = attempt->value_or(1);
+  aRequest.callIndex_ = *callIndex;
+  return {};
+}
+
+tl::expected<void, InvalidRequest>
+ReadIdentifiers(const HTTPRequest& aHead, CallerRequest& aRequest)
+{
+  if (aHead.has(header::kClick)) {
+    const std::string& click = aHead.get(header::kClick);
+    if (click.empty() || click.size() > kMaxClickIdBytes || !IsPrintableToken(click)) {
+      return Invalid(400, header::kClick, "expected 1 to 64 printable characters");
+    }
+    aRequest.clickId_ = click;
+  }
+  if (aHead.has(header::kParent)) {
+    const auto parent = ParseHex64(aHead.get(header::kParent));
+    if (!parent) {
+      return Invalid(400, header::kParent, "expected the value that the node sent");
+    }
+    aRequest.parent_ = RequestId{ *parent };
+  }
+  if (aHead.has(header::kTicket)) {
+    const auto ticket = ParseTicket(aHead.get(header::kTicket));
+    if (!ticket) {
+      return Invalid(400, header::kTicket, ticket.error().message_);
+    }
+    aRequest.ticket_ = *ticket;
+  }
+  if (aHead.has(header::kTicketFor)) {
+    std::string rest;
+    if (!SplitServiceKind(aHead.get(header::kTicketFor),
+                          aRequest.ticketForService_,
+                          aRequest.ticketForKind_,
+                          rest) ||
+        !rest.empty()) {
+      return Invalid(400, header::kTicketFor, "expected SERVICE/KIND");
+    }
+  }
+  return {};
+}
+
+void
+SetRetryAfter(Duration aDelay, HTTPResponse& aHead)
+{
+  const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(aDelay).count();
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(aDelay).count();
+  aHead.set(header::kRetryAfter, std::to_string(seconds));
+  aHead.set(header::kRetryAfterMs, std::to_string(milliseconds));
+}
+
+std::uint16_t
+StatusOfNotRun(Reason aReason)
+{
+  switch (aReason) {
+    case Reason::kInvalidRequest:
+    case Reason::kTicketInvalid:
+      return 400;
+    case Reason::kUnknownService:
+    case Reason::kUnknownKind:
+      return 404;
+    case Reason::kRequestMismatch:
+      return 409;
+    case Reason::kTooLarge:
+      return 413;
+    case Reason::kTicketNeeded:
+      return 428;
+    case Reason::kRepeatLimit:
+      return 429;
+    case Reason::kDeadline:
+      return 504;
+    case Reason::kTooDeep:
+      return 508;
+    default:
+      return 503;
+  }
+}
+
+std::string
+Explain(const Refusal& aRefusal)
+{
+  return std::string(ToString(aRefusal.verdict_)) + ": " + std::string(ToString(aRefusal.reason_)) +
+         "\n";
+}
+
+} // namespace
+
+tl::expected<CallerRequest, InvalidRequest>
+ParseCallerRequest(const HTTPRequest& aHead, std::string aBody)
+{
+  CallerRequest request;
+  request.method_ = aHead.getMethod();
+  if (request.method_ != HTTPRequest::HTTP_GET && request.method_ != HTTPRequest::HTTP_POST) {
+    return Invalid(405, "method", "expected GET or POST");
+  }
+  for (const auto read : { ReadPath, ReadNumbers, ReadIdentifiers }) {
+    if (const auto done = read(aHead, request); !done) {
+      return tl::unexpected(done.error());
+    }
+  }
+  if (const std::string& type = aHead.getContentType(); type != HTTPRequest::UNKNOWN_CONTENT_TYPE) {
+    request.contentType_ = type;
+  }
+  request.body_ = std::move(aBody);
+  return request;
+}
+
+std::uint16_t
+StatusOf(const Refusal& aRefusal)
+{
+  switch (aRefusal.verdict_) {
+    case Verdict::kNotRun:
+      return StatusOfNotRun(aRefusal.reason_);
+    case Verdict::kMayHaveRun:
+      return aRefusal.reason_ == Reason::kDeadline ? 504 : 502;
+    case Verdict::kRan:
+      return 200;
+  }
+  return 500;
+}
+
+std::string
+FormatCallerReply(const CallerReply& aReply, HTTPResponse& aHead)
+{
+  const Refusal& outcome = aReply.outcome_;
+  aHead.set(header::kVerdict, std::string(ToString(outcome.verdict_)));
+  if (outcome.reason_ != Reason::kNone) {
+    aHead.set(header::kReason, std::string(ToString(outcome.reason_)));
+  }
+  if (!aReply.clickId_.empty()) {
+    aHead.set(header::kClick, aReply.clickId_);
+  }
+  if (aReply.ticket_) {
+    aHead.set(header::kTicket, FormatTicket(*aReply.ticket_));
+  }
+  if (outcome.retryAfter_) {
+    SetRetryAfter(*outcome.retryAfter_, aHead);
+  }
+  if (aReply.answer_) {
+    aHead.setStatus(static_cast<HTTPResponse::HTTPStatus>(aReply.answer_->status_));
+    if (!aReply.answer_->contentType_.empty()) {
+      aHead.setContentType(aReply.answer_->contentType_);
+    }
+    return aReply.answer_->body_;
+  }
+  aHead.setStatus(static_cast<HTTPResponse::HTTPStatus>(StatusOf(outcome)));
+  aHead.setContentType("text/plain");
+  return Explain(outcome);
+}
+
+std::string
+FormatInvalidRequest(const InvalidRequest& aInvalid, HTTPResponse& aHead)
+{
+  aHead.setStatus(static_cast<HTTPResponse::HTTPStatus>(aInvalid.status_));
+  aHead.set(header::kVerdict, std::string(ToString(Verdict::kNotRun)));
+  aHead.set(header::kReason, std::string(ToString(Reason::kInvalidRequest)));
+  aHead.setContentType("text/plain");
+  return "not-run: " + aInvalid.error_.subject_ + ": " + aInvalid.error_.message_ + "\n";
+}
+
+void
+FormatBackendRequest(const BackendRequest& aRequest, HTTPRequest& aHead)
+{
+  const Request& request = aRequest.request_;
+  aHead.setMethod(request.method_);
+  aHead.setVersion(HTTPRequest::HTTP_1_1);
+  aHead.setURI('/' + request.service_ + '/' + request.kind_ + request.target_);
+  if (!request.contentType_.empty()) {
+    aHead.setContentType(request.contentType_);
+  }
+  aHead.set(header::kClick, request.clickId_);
+  aHead.set(header::kParent, ToHex(aRequest.id_.value_));
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(aRequest.remaining_);
+  aHead.set(header::kDeadline,
+            std::to_string(std::max<std::chrono::milliseconds::rep>(remaining.count(), 1)));
+  if (request.ticket_) {
+    aHead.set(header::kTicket, FormatTicket(*request.ticket_));
+  }
+}
+
+bool
+IsRefusedByBackend(const HTTPResponse& aHead)
+{
+  return aHead.getStatus() == HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+         aHead.get(header::kVerdict, "") == ToString(Verdict::kNotRun);
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/wire/HttpMapping.h
@@ -0,0 +1,70 @@
+/** \file
+ * The HTTP interfaces of callers and backend servers as typed values. docs/INTERFACES.md holds the
+ * table of statuses and headers.
+ */
+#pragma once
+
+#include "model/CallerRequest.h"
+#include "model/Error.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace fulmarway {
+
+namespace header {
+
+inline constexpr const char* kDeadline = "Fulmarway-Deadline-Ms";
+inline constexpr const char* kClick = "Fulmarway-Click";
+inline constexpr const char* kAttempt = "Fulmarway-Attempt";
+inline constexpr const char* kTicket = "Fulmarway-Ticket";
+inline constexpr const char* kTicketFor = "Fulmarway-Ticket-For";
+inline constexpr const char* kCallIndex = "Fulmarway-Call-Index";
+inline constexpr const char* kParent = "Fulmarway-Parent";
+inline constexpr const char* kVerdict = "Fulmarway-Verdict";
+inline constexpr const char* kReason = "Fulmarway-Reason";
+inline constexpr const char* kRetryAfter = "Retry-After";
+/** The same time with more precision than the whole seconds of Retry-After. */
+inline constexpr const char* kRetryAfterMs = "Fulmarway-Retry-After-Ms";
+
+} // namespace header
+
+/** A request that is refused before it reaches the reducer; it has not run. */
+struct InvalidRequest
+{
+  std::uint16_t status_ = 400;
+  UserError error_;
+
+  bool operator==(const InvalidRequest&) const = default;
+};
+
+/** Largest header block, bytes; above it the answer is 431. */
+inline constexpr std::size_t kMaxHeaderBytes = 16U << 10;
+
+/** Reads the request line and headers of a caller's request. */
+tl::expected<CallerRequest, InvalidRequest>
+ParseCallerRequest(const Poco::Net::HTTPRequest& aHead, std::string aBody);
+
+/** Sets status and headers; the body is that of the answer, or a line that explains the refusal. */
+std::string
+FormatCallerReply(const CallerReply& aReply, Poco::Net::HTTPResponse& aHead);
+
+std::string
+FormatInvalidRequest(const InvalidRequest& aInvalid, Poco::Net::HTTPResponse& aHead);
+
+/** The status of a refusal. */
+std::uint16_t
+StatusOf(const Refusal& aRefusal);
+
+/** Sets the request line and headers for the own backend server. */
+void
+FormatBackendRequest(const BackendRequest& aRequest, Poco::Net::HTTPRequest& aHead);
+
+/** Whether the backend server states that it refused the request without running it. */
+bool
+IsRefusedByBackend(const Poco::Net::HTTPResponse& aHead);
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/wire/Serialize.h
@@ -0,0 +1,438 @@
+/** \file
+ * cereal serialization of the value types that travel between nodes or into the log.
+ */
+#pragma once
+
+#include "model/Config.h"
+#include "model/PeerMessage.h"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <type_traits>
+
+namespace fulmarway {
+
+namespace wire_detail {
+
+/** Reads or writes an enumeration as one byte; a value above kLast is refused. */
+template<auto kLast>
+struct CheckedEnum
+{
+  std::remove_const_t<decltype(kLast)>& value_;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    auto number = static_cast<std::uint8_t>(value_);
+    aArchive(number);
+    if (number > static_cast<std::uint8_t>(kLast)) {
+      throw cereal::Exception("enumeration value out of range");
+    }
+    value_ = static_cast<std::remove_const_t<decltype(kLast)>>(number);
+  }
+};
+
+template<auto kLast>
+CheckedEnum<kLast>
+Checked(std::remove_const_t<decltype(kLast)>& aValue)
+{
+  return CheckedEnum<kLast>{ aValue };
+}
+
+} // namespace wire_detail
+
+template<class Archive, class Tag>
+void
+serialize(Archive& aArchive, Id<Tag>& aValue)
+{
+  aArchive(aValue.value_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Bits128& aValue)
+{
+  aArchive(aValue.high_, aValue.low_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Refusal& aValue)
+{
+  aArchive(wire_detail::Checked<Verdict::kRan>(aValue.verdict_),
+           wire_detail::Checked<Reason::kAnswerNotKept>(aValue.reason_),
+           aValue.retryAfter_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Ticket& aValue)
+{
+  aArchive(aValue.executor_, aValue.incarnation_, aValue.epoch_, aValue.nonce_, aValue.mac_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Request& aValue)
+{
+  aArchive(aValue.clickId_,
+           aValue.service_,
+           aValue.kind_,
+           wire_detail::Checked<Importance::kLow>(aValue.importance_),
+           aValue.method_,
+           aValue.target_,
+           aValue.contentType_,
+           aValue.body_,
+           aValue.ticket_,
+           aValue.depth_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Answer& aValue)
+{
+  aArchive(aValue.status_, aValue.contentType_, aValue.body_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, NodeIdentity& aValue)
+{
+  aArchive(aValue.id_,
+           aValue.generation_,
+           aValue.incarnation_,
+           aValue.peerAddress_,
+           aValue.adminAddress_,
+           aValue.service_,
+           aValue.domain_,
+           aValue.region_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, MemberRecord& aValue)
+{
+  aArchive(aValue.identity_,
+           aValue.sequence_,
+           wire_detail::Checked<MemberState::kLeft>(aValue.state_),
+           aValue.ticketEpoch_,
+           aValue.configVersion_,
+           aValue.successor_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, KindSpec& aValue)
+{
+  aArchive(aValue.name_,
+           wire_detail::Checked<Importance::kLow>(aValue.importance_),
+           aValue.idempotent_,
+           aValue.extraAttempts_,
+           aValue.deadline_,
+           aValue.longRunning_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ServiceSpec& aValue)
+{
+  aArchive(aValue.name_,
+           aValue.slots_,
+           aValue.connections_,
+           aValue.limit_,
+           aValue.longSharePercent_,
+           aValue.kinds_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Configuration& aValue)
+{
+  aArchive(aValue.version_, aValue.services_, aValue.drained_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DeclareService& aValue)
+{
+  aArchive(aValue.service_, aValue.slots_, aValue.connections_, aValue.longSharePercent_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DeclareKind& aValue)
+{
+  aArchive(aValue.service_, aValue.kind_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetPriority& aValue)
+{
+  aArchive(
+    aValue.service_, aValue.kind_, wire_detail::Checked<Importance::kLow>(aValue.importance_));
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetLimit& aValue)
+{
+  aArchive(aValue.service_, aValue.limit_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SetDrain& aValue)
+{
+  aArchive(aValue.peerAddress_, aValue.draining_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CommandRecord& aValue)
+{
+  aArchive(
+    aValue.id_, aValue.operatorName_, aValue.baseVersion_, aValue.wallTimeMs_, aValue.command_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AuditEntry& aValue)
+{
+  aArchive(aValue.record_,
+           aValue.offset_,
+           aValue.version_,
+           wire_detail::Checked<CommandOutcome::kRejected>(aValue.outcome_),
+           aValue.detail_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigState& aValue)
+{
+  aArchive(aValue.config_, aValue.nextOffset_, aValue.subjectVersions_, aValue.audit_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SnapshotRecord& aValue)
+{
+  aArchive(aValue.state_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AnnounceRecord& aValue)
+{
+  aArchive(aValue.member_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, OffsetRecord& aValue)
+{
+  aArchive(aValue.offset_, aValue.record_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CallRequest& aValue)
+{
+  aArchive(aValue.attempt_, aValue.request_, aValue.remaining_, aValue.lentTokens_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AdmissionLevel& aValue)
+{
+  aArchive(aValue.admitBelow_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, LoadReport& aValue)
+{
+  aArchive(aValue.level_, aValue.limit_, aValue.running_, aValue.queued_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CallAnswer& aValue)
+{
+  aArchive(
+    aValue.attempt_, aValue.answer_, aValue.bodyBytes_, aValue.returnedTokens_, aValue.load_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CallAnswerPart& aValue)
+{
+  aArchive(aValue.attempt_, aValue.offset_, aValue.bytes_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CallRefused& aValue)
+{
+  aArchive(
+    aValue.attempt_, aValue.refusal_, aValue.returnedTokens_, aValue.successor_, aValue.load_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, CallCancelled& aValue)
+{
+  aArchive(aValue.attempt_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Ping& aValue)
+{
+  aArchive(aValue.number_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Pong& aValue)
+{
+  aArchive(aValue.number_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, HandedTicket& aValue)
+{
+  aArchive(aValue.ticket_,
+           aValue.digest_,
+           wire_detail::Checked<TicketFate::kMayHaveRun>(aValue.fate_),
+           wire_detail::Checked<Reason::kAnswerNotKept>(aValue.reason_),
+           aValue.answer_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, HandedTable& aValue)
+{
+  aArchive(aValue.executor_, aValue.incarnation_, aValue.epoch_, aValue.tickets_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Handover& aValue)
+{
+  aArchive(aValue.from_, aValue.incarnation_, aValue.part_, aValue.partCount_, aValue.tables_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, HandoverAccepted& aValue)
+{
+  aArchive(aValue.from_, aValue.incarnation_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigRequest& aValue)
+{
+  aArchive(aValue.nextOffset_, aValue.version_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ConfigReply& aValue)
+{
+  aArchive(aValue.state_, aValue.records_, aValue.nextOffset_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Hello& aValue)
+{
+  aArchive(aValue.node_, aValue.incarnation_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, Probe& aValue)
+{
+  aArchive(aValue.number_, aValue.onBehalfOf_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ProbeAck& aValue)
+{
+  aArchive(aValue.number_, aValue.subject_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, ProbeRequest& aValue)
+{
+  aArchive(aValue.number_, aValue.target_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DomainDigest& aValue)
+{
+  aArchive(aValue.domain_, aValue.hash_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, DigestExchange& aValue)
+{
+  aArchive(aValue.digests_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RecordSummary& aValue)
+{
+  aArchive(aValue.node_,
+           aValue.generation_,
+           aValue.sequence_,
+           wire_detail::Checked<MemberState::kLeft>(aValue.state_));
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, SummaryExchange& aValue)
+{
+  aArchive(aValue.summaries_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RecordsRequest& aValue)
+{
+  aArchive(aValue.nodes_);
+}
+
+template<class Archive>
+void
+serialize(Archive&, RecordsReply&)
+{
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, GossipMessage& aValue)
+{
+  aArchive(aValue.sender_,
+           aValue.incarnation_,
+           aValue.senderAddress_,
+           aValue.configVersion_,
+           aValue.body_,
+           aValue.updates_);
+}
+
+} // namespace fulmarway
