--- /dev/null
+++ b/packages/policy/CommandCheck.cpp
@@ -0,0 +1,200 @@
+#include "policy/ConfigFold.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <string_view>
+
+namespace fulmarway {
+
+namespace {
+
+using Fault = std::optional<std::string>;
+
+constexpr std::uint32_t kMaxPercent = 100;
+constexpr std::uint32_t kMaxPort = 65535;
+
+Fault
+CheckName(std::string_view aWhat, const std::string& aName)
+{
+  const auto allowed = [](char aChar) {
+    return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') || aChar == '-';
+  };
+  if (aName.empty() || aName.size() > kMaxNameBytes) {
+    return std::string(aWhat) + " name: must have 1 to " + std::to_string(kMaxNameBytes) + " bytes";
+  }
+  if (!std::all_of(aName.begin(), aName.end(), allowed)) {
+    return std::string(aWhat) + " name: only a-z, 0-9 and - are allowed";
+  }
+  return std::nullopt;
+}
+
+Fault
+CheckRange(std::string_view aWhat, std::uint64_t aValue, std::uint64_t aLow, std::uint64_t aHigh)
+{
+  if (aValue >= aLow && aValue <= aHigh) {
+    return std::nullopt;
+  }
+  return std::string(aWhat) + " " + std::to_string(aValue) + ": must be " + std::to_string(aLow) +
+         " to " + std::to_string(aHigh);
+}
+
+Fault
+CheckImportance(Importance aImportance)
+{
+  if (static_cast<std::size_t>(aImportance) < kImportanceCount) {
+    return std::nullopt;
+  }
+  return "importance: must be critical, high, normal or low";
+}
+
+/** Whether aText is the canonical form of an address of aFamily; node ids are hashes of this form.
+ */
+bool
+IsCanonicalIp(int aFamily, const std::string& aText)
+{
+  unsigned char bytes[sizeof(in6_addr)];
+  char text[INET6_ADDRSTRLEN];
+  return inet_pton(aFamily, aText.c_str(), bytes) == 1 &&
+         inet_ntop(aFamily, bytes, text, sizeof text) != nullptr && aText == text;
+}
+
+bool
+IsPort(std::string_view aText)
+{
+  std::uint32_t port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedTo, error] = std::from_chars(aText.data(), end, port);
+  return error == std::errc{} && parsedTo == end && aText.front() != '0' && port <= kMaxPort;
+}
+
+Fault
+CheckAddress(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  if (aAddress.size() <= kMaxNameBytes && colon != std::string::npos &&
+      aAddress.find('\0') == std::string::npos && IsPort(aAddress.substr(colon + 1))) {
+    const std::string host = aAddress.substr(0, colon);
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed ? IsCanonicalIp(AF_INET6, host.substr(1, host.size() - 2))
+                  : IsCanonicalIp(AF_INET, host)) {
+      return std::nullopt;
+    }
+  }
+  return "address " + aAddress + ": must be IP:port, for example 10.0.0.1:7000 or [fd00::1]:7000";
+}
+
+/** First fault of several checks. */
+template<typename... Faults>
+Fault
+FirstOf(Faults... aFaults)
+{
+  Fault first;
+  ((first = first ? std::move(first) : std::move(aFaults)), ...);
+  return first;
+}
+
+struct CheckVisitor
+{
+  const Configuration& config_;
+
+  Fault operator()(const DeclareService& aCommand) const
+  {
+    if (Fault fault = CheckName("service", aCommand.service_)) {
+      return fault;
+    }
+    if (config_.services_.size() >= kMaxServices &&
+        !config_.services_.contains(aCommand.service_)) {
+      return "service " + aCommand.service_ + ": there are " + std::to_string(kMaxServices) +
+             " services already";
+    }
+    return FirstOf(CheckRange("slots", aCommand.slots_, 1, kMaxSlots),
+                   CheckRange("connections", aCommand.connections_, 1, kMaxConnections),
+                   CheckRange("long-share", aCommand.longSharePercent_, 0, kMaxPercent));
+  }
+
+  Fault operator()(const DeclareKind& aCommand) const
+  {
+    const KindSpec& kind = aCommand.kind_;
+    if (Fault fault = FirstOf(CheckService(aCommand.service_), CheckName("kind", kind.name_))) {
+      return fault;
+    }
+    const auto& kinds = config_.services_.at(aCommand.service_).kinds_;
+    if (kinds.size() >= kMaxKindsPerService && !kinds.contains(kind.name_)) {
+      return "kind " + kind.name_ + ": service " + aCommand.service_ + " has " +
+             std::to_string(kMaxKindsPerService) + " kinds already";
+    }
+    return FirstOf(CheckImportance(kind.importance_),
+                   CheckRange("attempts", kind.extraAttempts_, 0, kMaxExtraAttempts),
+                   CheckDeadline(kind.deadline_));
+  }
+
+  Fault operator()(const SetPriority& aCommand) const
+  {
+    if (Fault fault = FirstOf(CheckService(aCommand.service_), CheckName("kind", aCommand.kind_))) {
+      return fault;
+    }
+    if (!config_.services_.at(aCommand.service_).kinds_.contains(aCommand.kind_)) {
+      return "kind " + aCommand.kind_ + ": service " + aCommand.service_ + " has no such kind";
+    }
+    return CheckImportance(aCommand.importance_);
+  }
+
+  Fault operator()(const SetLimit& aCommand) const
+  {
+    if (Fault fault = CheckService(aCommand.service_)) {
+      return fault;
+    }
+    const std::uint32_t slots = config_.services_.at(aCommand.service_).slots_;
+    if (aCommand.limit_ > slots) {
+      return "limit " + std::to_string(aCommand.limit_) + ": service " + aCommand.service_ +
+             " has " + std::to_string(slots) + " slots, so it would have no effect";
+    }
+    return std::nullopt;
+  }
+
+  Fault operator()(const SetDrain& aCommand) const
+  {
+    if (Fault fault = CheckAddress(aCommand.peerAddress_)) {
+      return fault;
+    }
+    const bool drained = config_.drained_.contains(aCommand.peerAddress_);
+    if (!aCommand.draining_ && !drained) {
+      return "address " + aCommand.peerAddress_ + ": is not drained";
+    }
+    if (aCommand.draining_ && !drained && config_.drained_.size() >= kMaxDrained) {
+      return "address " + aCommand.peerAddress_ + ": " + std::to_string(kMaxDrained) +
+             " nodes are drained already";
+    }
+    return std::nullopt;
+  }
+
+  Fault CheckService(const std::string& aService) const
+  {
+    Fault fault = CheckName("service", aService);
+    if (!fault && !config_.services_.contains(aService)) {
+      fault = "service " + aService + ": is not declared";
+    }
+    return fault;
+  }
+
+  /** Whole milliseconds, because the operator language has no smaller unit. */
+  static Fault CheckDeadline(Duration aDeadline)
+  {
+    if (aDeadline > Duration::zero() && aDeadline <= kMaxKindDeadline &&
+        aDeadline % std::chrono::milliseconds(1) == Duration::zero()) {
+      return std::nullopt;
+    }
+    return "deadline: must be 1ms to 10min, in whole milliseconds";
+  }
+};
+
+} // namespace
+
+std::optional<std::string>
+CheckCommand(const Configuration& aConfig, const Command& aCommand)
+{
+  return std::visit(CheckVisitor{ aConfig }, aCommand);
+}
+
+} // namespace fulmarway
