Add first admission and retry budget modules

Cause: the reducer is composed of these modules and needs working versions. Admission has a fixed limit, the class queue with displacement, the share of long requests and deadline checks. Ruled out: a loan of half the tokens rounded up. The last token would travel with the first call and be lost with its answer.

--- a/packages/policy/Admission.h
+++ b/packages/policy/Admission.h
@@ -9,6 +9,7 @@
 #include "model/Step.h"
 #include "model/Time.h"
 #include "model/Verdict.h"
+#include "policy/AdmissionQueue.h"
 
 #include <cstdint>
 #include <map>
@@ -29,20 +30,6 @@
   auto operator<=>(const AdmissionSettings&) const = default;
 };
 
-/** A request that asks for a slot. */
-struct Arrival
-{
-  RequestId id_;
-  /** Hash of the kind; service times are learned for each kind. */
-  std::uint64_t kindKey_ = 0;
-  Importance importance_ = Importance::kNormal;
-  std::uint8_t clickBucket_ = 0;
-  Instant deadline_;
-  bool longRunning_ = false;
-
-  auto operator<=>(const Arrival&) const = default;
-};
-
 /** A request that gets no slot; it has not run. */
 struct ShedRequest
 {
@@ -71,10 +58,24 @@
   kAbandoned,
 };
 
+/** A request that holds a slot. */
+struct RunningRequest
+{
+  std::uint64_t kindKey_ = 0;
+  Instant startedAt_;
+  bool longRunning_ = false;
+
+  auto operator<=>(const RunningRequest&) const = default;
+};
+
 /** Owned by the inbound role. The queue holds at most `slots_` requests. */
 struct AdmissionState
 {
   AdmissionSettings settings_;
+  std::map<RequestId, RunningRequest> running_;
+  /** Long requests among the running ones. */
+  std::uint32_t longRunning_ = 0;
+  AdmissionQueue queue_;
 
   bool operator==(const AdmissionState&) const = default;
 };
@@ -86,7 +87,8 @@
 Step<AdmissionState, AdmissionDecision>
 Configure(AdmissionState aState, const AdmissionSettings& aSettings, Instant aNow);
 
-/** Starts, queues or sheds an arrival; it may push out a queued request of a lower class. */
+/** Starts, queues or sheds an arrival; it may push out a queued request of a lower class. An id
+ * that is already queued or running is an internal error. */
 Step<AdmissionState, AdmissionDecision>
 Offer(AdmissionState aState, const Arrival& aArrival, Instant aNow);
 
--- /dev/null
+++ b/packages/policy/AdmissionQueue.cpp
@@ -0,0 +1,113 @@
+#include "policy/AdmissionQueue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace fulmarway {
+
+namespace {
+
+using Requests = std::map<QueuePlace, QueuedRequest>;
+
+bool
+CountsAsLong(const Arrival& aArrival)
+{
+  return aArrival.longRunning_ && aArrival.importance_ != Importance::kCritical;
+}
+
+std::size_t
+CountLong(const Requests& aRequests)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aRequests.begin(), aRequests.end(), [](const auto& aEntry) {
+      return CountsAsLong(aEntry.second.arrival_);
+    }));
+}
+
+Requests::iterator
+FindRequest(Requests& aRequests, RequestId aId)
+{
+  return std::find_if(aRequests.begin(), aRequests.end(), [aId](const auto& aEntry) {
+    return aEntry.second.arrival_.id_ == aId;
+  });
+}
+
+/** The last request, or the last long one. */
+Requests::iterator
+FindLast(Requests& aRequests, bool aLongOnly)
+{
+  const auto last = std::find_if(aRequests.rbegin(), aRequests.rend(), [&](const auto& aEntry) {
+    return !aLongOnly || CountsAsLong(aEntry.second.arrival_);
+  });
+  return last == aRequests.rend() ? aRequests.end() : std::prev(last.base());
+}
+
+} // namespace
+
+std::optional<RequestId>
+Enqueue(AdmissionQueue& aQueue, const Arrival& aArrival, const QueueBounds& aBounds, Instant aNow)
+{
+  Requests& requests = aQueue.requests_;
+  std::optional<RequestId> displaced;
+  const bool longFull = CountsAsLong(aArrival) && CountLong(requests) >= aBounds.long_;
+  if (longFull || requests.size() >= aBounds.total_) {
+    const auto last = FindLast(requests, longFull);
+    if (last == requests.end() || last->first.importance_ <= aArrival.importance_) {
+      return aArrival.id_;
+    }
+    displaced = last->second.arrival_.id_;
+    requests.erase(last);
+  }
+  requests.emplace(QueuePlace{ aArrival.importance_, aArrival.deadline_, aQueue.nextSequence_++ },
+                   QueuedRequest{ aArrival, aNow });
+  return displaced;
+}
+
+std::optional<QueuedRequest>
+TakeFirst(AdmissionQueue& aQueue, bool aTakeLong)
+{
+  Requests& requests = aQueue.requests_;
+  const auto first =
+    std::find_if(requests.begin(), requests.end(), [aTakeLong](const auto& aEntry) {
+      return aTakeLong || !aEntry.second.arrival_.longRunning_;
+    });
+  if (first == requests.end()) {
+    return std::nullopt;
+  }
+  const QueuedRequest taken = first->second;
+  requests.erase(first);
+  return taken;
+}
+
+bool
+Remove(AdmissionQueue& aQueue, RequestId aId)
+{
+  const auto found = FindRequest(aQueue.requests_, aId);
+  if (found == aQueue.requests_.end()) {
+    return false;
+  }
+  aQueue.requests_.erase(found);
+  return true;
+}
+
+bool
+IsQueued(const AdmissionQueue& aQueue, RequestId aId)
+{
+  return std::any_of(aQueue.requests_.begin(), aQueue.requests_.end(), [aId](const auto& aEntry) {
+    return aEntry.second.arrival_.id_ == aId;
+  });
+}
+
+std::vector<RequestId>
+Trim(AdmissionQueue& aQueue, const QueueBounds& aBounds)
+{
+  std::vector<RequestId> removed;
+  while (aQueue.requests_.size() > aBounds.total_) {
+    const auto last = std::prev(aQueue.requests_.end());
+    removed.push_back(last->second.arrival_.id_);
+    aQueue.requests_.erase(last);
+  }
+  return removed;
+}
+
+} // namespace fulmarway
--- a/packages/policy/RetryBudget.h
+++ b/packages/policy/RetryBudget.h
@@ -34,10 +34,40 @@
   auto operator<=>(const RetryBudgetSettings&) const = default;
 };
 
+/** Tokens that were lent for one attempt and have not come back. */
+struct TokenLoan
+{
+  PoolId pool_;
+  std::uint32_t tokens_ = 0;
+
+  bool operator==(const TokenLoan&) const = default;
+};
+
+/** What is left for the repeats of one caller. */
+struct CallerShare
+{
+  /** Hundredths of a repeat, so that a percentage is added without rounding. */
+  std::uint64_t credit_ = 0;
+  /** Key in RetryBudget::callersByUse_. */
+  std::uint64_t lastUse_ = 0;
+
+  bool operator==(const CallerShare&) const = default;
+};
+
 /** Tokens are conserved: held + lent + spent of all pools of a click never exceeds the grant. */
 struct RetryBudget
 {
   RetryBudgetSettings settings_;
+  /** Tokens held by each open pool. Bounded by the requests in progress. */
+  std::map<PoolId, std::uint32_t> pools_;
+  /** Open loans of at least one token. */
+  std::map<AttemptId, TokenLoan> loans_;
+  /** Hundredths of a retry that the node may still make. */
+  std::uint64_t nodeCredit_ = 0;
+  std::map<std::string, CallerShare, std::less<>> callers_;
+  /** Callers from the longest unseen to the latest. */
+  std::map<std::uint64_t, std::string> callersByUse_;
+  std::uint64_t nextUse_ = 0;
 
   bool operator==(const RetryBudget&) const = default;
 };
--- /dev/null
+++ b/packages/policy/tests/AdmissionQueueTest.cpp
@@ -0,0 +1,112 @@
+/** \file
+ * Guards against a queue that serves, displaces or bounds requests in the wrong order.
+ */
+#include "policy/Admission.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+
+namespace {
+
+Instant
+At(std::int64_t aMilliseconds)
+{
+  return Instant{ std::chrono::milliseconds(aMilliseconds) };
+}
+
+Arrival
+MakeArrival(std::uint64_t aId, Importance aImportance, std::int64_t aDeadlineMs, bool aLong = false)
+{
+  return { RequestId{ aId }, 1, aImportance, 0, At(aDeadlineMs), aLong };
+}
+
+/** A state whose slots are all taken by requests 1000, 1001 and so on. */
+AdmissionState
+FullState(std::uint32_t aSlots)
+{
+  AdmissionState state = MakeAdmission({ aSlots, 0, 25 }, At(0));
+  for (std::uint32_t i = 0; i < aSlots; ++i) {
+    state = Offer(std::move(state), MakeArrival(1000 + i, Importance::kNormal, 9000), At(0)).state_;
+  }
+  return state;
+}
+
+struct OfferCase
+{
+  const char* name_;
+  std::vector<Arrival> queued_;
+  Arrival arrival_;
+  /** Id of the request that is shed; 0 for none. */
+  std::uint64_t shed_;
+};
+
+} // namespace
+
+Test(admission_queue, who_is_shed_when_the_queue_is_full)
+{
+  const OfferCase cases[] = {
+    { "critical displaces the lowest class with the latest deadline",
+      { MakeArrival(1, Importance::kLow, 500),
+        MakeArrival(2, Importance::kLow, 900),
+        MakeArrival(3, Importance::kNormal, 950) },
+      MakeArrival(4, Importance::kCritical, 600),
+      2 },
+    { "an equal class displaces nothing",
+      { MakeArrival(1, Importance::kHigh, 500),
+        MakeArrival(2, Importance::kHigh, 900),
+        MakeArrival(3, Importance::kHigh, 950) },
+      MakeArrival(4, Importance::kHigh, 400),
+      4 },
+    { "a lower class is refused",
+      { MakeArrival(1, Importance::kCritical, 500),
+        MakeArrival(2, Importance::kHigh, 900),
+        MakeArrival(3, Importance::kNormal, 950) },
+      MakeArrival(4, Importance::kLow, 400),
+      4 },
+    { "critical is refused only by a queue of criticals",
+      { MakeArrival(1, Importance::kCritical, 500),
+        MakeArrival(2, Importance::kCritical, 900),
+        MakeArrival(3, Importance::kCritical, 950) },
+      MakeArrival(4, Importance::kCritical, 400),
+      4 },
+    { "room is left",
+      { MakeArrival(1, Importance::kLow, 500) },
+      MakeArrival(4, Importance::kLow, 400),
+      0 },
+  };
+  for (const OfferCase& example : cases) {
+    AdmissionState state = FullState(3);
+    for (const Arrival& arrival : example.queued_) {
+      state = Offer(std::move(state), arrival, At(1)).state_;
+    }
+    const auto step = Offer(std::move(state), example.arrival_, At(2));
+    const std::vector<ShedRequest> expected =
+      example.shed_ == 0
+        ? std::vector<ShedRequest>{}
+        : std::vector<ShedRequest>{ { RequestId{ example.shed_ }, Reason::kShedByQueue } };
+    cr_assert(step.result_.shed_ == expected, "%s", example.name_);
+    cr_assert(step.result_.start_.empty(), "%s", example.name_);
+    cr_assert_leq(QueuedCount(step.state_), 3U, "%s", example.name_);
+  }
+}
+
+Test(admission_queue, served_by_class_then_deadline_then_arrival)
+{
+  AdmissionState state = FullState(4);
+  const Arrival arrivals[] = { MakeArrival(1, Importance::kLow, 500),
+                               MakeArrival(2, Importance::kHigh, 800),
+                               MakeArrival(3, Importance::kHigh, 700),
+                               MakeArrival(4, Importance::kHigh, 800) };
+  for (const Arrival& arrival : arrivals) {
+    state = Offer(std::move(state), arrival, At(1)).state_;
+  }
+  std::vector<std::uint64_t> order;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    auto step = Finish(std::move(state), RequestId{ 1000 + i }, CompletionKind::kSucceeded, At(9));
+    state = std::move(step.state_);
+    cr_assert_eq(step.result_.start_.size(), 1U);
+    order.push_back(step.result_.start_.front().value_);
+  }
+  cr_assert((order == std::vector<std::uint64_t>{ 3, 2, 4, 1 }));
+}
