Add the executor's ticket table

The table records a ticket before the request reaches the backend server, so each ticket runs at most once. Entries are kept per executor incarnation and epoch: a whole epoch expires at once and needs no expiry index.

Three gaps in the interfaces allowed a second run and are closed: - Handover carries the successor's id and incarnation. Without it a transfer that is repeated to a restarted successor gives that process the right to run tickets that the process before it has already run. - HandedTable carries the epochs that were closed when the table was full. A full table refuses tickets as not run without an entry, so the successor has to refuse them as well. - ReleaseChildTicket takes the refused ticket. Without it a repeated refusal releases the ticket that was recorded after the first one.

--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -132,6 +132,9 @@
   /** The executor's epoch when the message was made. */
   std::uint32_t epoch_ = 0;
   std::vector<HandedTicket> tickets_;
+  /** Epochs in which tickets were refused as not run because the table was full. Their tickets that
+   * are not listed never run. */
+  std::vector<std::uint32_t> closedEpochs_;
 
   bool operator==(const HandedTable&) const = default;
 };
@@ -142,6 +145,10 @@
 {
   NodeId from_;
   Incarnation incarnation_;
+  /** The only receiver that may accept. The incarnation keeps a repeated transfer from reaching a
+   * restarted successor, which does not know what its predecessor ran after it had accepted. */
+  NodeId successor_;
+  Incarnation successorIncarnation_;
   std::uint32_t part_ = 0;
   std::uint32_t partCount_ = 1;
   std::vector<HandedTable> tables_;
@@ -149,7 +156,7 @@
   bool operator==(const Handover&) const = default;
 };
 
-/** The receiver has all parts and is the executor now. */
+/** The receiver has all parts and is the executor now. Both fields repeat those of the Handover. */
 struct HandoverAccepted
 {
   NodeId from_;
--- /dev/null
+++ b/packages/policy/TicketTable.cpp
@@ -0,0 +1,455 @@
+#include "policy/TicketTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarway {
+
+namespace {
+
+TicketDecision
+Refuse(Verdict aVerdict, Reason aReason)
+{
+  TicketDecision decision;
+  decision.refusal_ = { aVerdict, aReason, std::nullopt };
+  return decision;
+}
+
+TicketDecision
+Act(TicketAction aAction)
+{
+  TicketDecision decision;
+  decision.action_ = aAction;
+  return decision;
+}
+
+AnswerLimits
+LimitsOf(const TicketSettings& aSettings)
+{
+  return { aSettings.maxAnswerBytes_, aSettings.maxBodyBytes_ };
+}
+
+ExecutorKey
+OwnKey(const TicketTable& aTable)
+{
+  return { aTable.self_, aTable.incarnation_ };
+}
+
+ExecutorTickets*
+FindExecutor(TicketTable& aTable, const Ticket& aTicket)
+{
+  const auto found = aTable.executors_.find(ExecutorOf(aTicket));
+  return found == aTable.executors_.end() ? nullptr : &found->second;
+}
+
+TicketEntry*
+FindEntry(TicketTable& aTable, const Ticket& aTicket)
+{
+  ExecutorTickets* executor = FindExecutor(aTable, aTicket);
+  return executor == nullptr ? nullptr : FindEntry(*executor, aTicket);
+}
+
+bool
+IsRunning(TicketTable& aTable, const Ticket& aTicket)
+{
+  const TicketEntry* entry = FindEntry(aTable, aTicket);
+  return entry != nullptr && entry->phase_ == TicketPhase::kRunning;
+}
+
+TicketDecision
+Join(TicketTable& aTable, const Ticket& aTicket, RequestId aRequester)
+{
+  Waiters& waiters = aTable.unfinished_[aTicket].waiters_;
+  if (std::find(waiters.begin(), waiters.end(), aRequester) != waiters.end()) {
+    return Act(TicketAction::kJoined);
+  }
+  if (waiters.size() >= kMaxWaiters) {
+    return Refuse(Verdict::kMayHaveRun, Reason::kRepeatLimit);
+  }
+  waiters.push_back(aRequester);
+  return Act(TicketAction::kJoined);
+}
+
+TicketDecision
+DecideFinished(const TicketTable& aTable, const TicketEntry& aEntry)
+{
+  switch (aEntry.fate_) {
+    case TicketFate::kClosed:
+      return Refuse(Verdict::kNotRun, aEntry.reason_);
+    case TicketFate::kMayHaveRun:
+      return Refuse(Verdict::kMayHaveRun, aEntry.reason_);
+    case TicketFate::kAnswered:
+    case TicketFate::kAnsweredNotKept:
+      break;
+  }
+  TicketDecision decision = Refuse(Verdict::kRan, Reason::kAnswerNotKept);
+  if (auto answer = Recall(aTable.answers_, aEntry.answer_)) {
+    decision = Act(TicketAction::kReplay);
+    decision.answer_ = std::move(answer);
+  }
+  return decision;
+}
+
+TicketDecision
+DecideRepeat(TicketTable& aTable,
+             const TicketEntry& aEntry,
+             const Ticket& aTicket,
+             std::uint64_t aDigest,
+             RequestId aRequester)
+{
+  const bool finished = aEntry.phase_ == TicketPhase::kFinished;
+  if (aEntry.digest_ != aDigest) {
+    const bool closed = finished && aEntry.fate_ == TicketFate::kClosed;
+    return Refuse(closed ? Verdict::kNotRun : Verdict::kMayHaveRun, Reason::kRequestMismatch);
+  }
+  return finished ? DecideFinished(aTable, aEntry) : Join(aTable, aTicket, aRequester);
+}
+
+TicketDecision
+DecideNew(TicketTable& aTable,
+          ExecutorTickets& aExecutor,
+          const Ticket& aTicket,
+          std::uint64_t aDigest,
+          RequestId aRequester)
+{
+  if (IsExpired(aTicket.epoch_, aExecutor.latestEpoch_, aTable.settings_.windowEpochs_)) {
+    return Refuse(Verdict::kMayHaveRun, Reason::kTicketExpired);
+  }
+  if (aTicket.epoch_ > std::uint64_t{ aExecutor.latestEpoch_ } + 1) {
+    return Refuse(Verdict::kMayHaveRun, Reason::kTicketInvalid);
+  }
+  EpochTickets& epoch = aExecutor.epochs_[aTicket.epoch_];
+  if (aTable.ticketCount_ >= aTable.settings_.maxTickets_) {
+    epoch.closed_ = true;
+  }
+  if (epoch.closed_) {
+    return Refuse(Verdict::kNotRun, Reason::kTicketTableFull);
+  }
+  TicketEntry entry;
+  entry.digest_ = aDigest;
+  epoch.entries_.emplace(KeyOf(aTicket), entry);
+  ++epoch.unfinished_;
+  ++aTable.ticketCount_;
+  aTable.unfinished_[aTicket].waiters_.push_back(aRequester);
+  return Act(TicketAction::kRun);
+}
+
+/** Ends an unfinished ticket and returns its waiters. */
+Waiters
+FinishTicket(TicketTable& aTable, const Ticket& aTicket, TicketFate aFate, Reason aReason)
+{
+  ExecutorTickets& executor = aTable.executors_.at(ExecutorOf(aTicket));
+  TicketEntry& entry = *FindEntry(executor, aTicket);
+  entry.phase_ = TicketPhase::kFinished;
+  entry.fate_ = aFate;
+  entry.reason_ = aReason;
+  --executor.epochs_.at(aTicket.epoch_).unfinished_;
+  auto unfinished = aTable.unfinished_.extract(aTicket);
+  return std::move(unfinished.mapped().waiters_);
+}
+
+/** Takes over the tickets of one executor. */
+void
+Inherit(TicketTable& aTable, const HandedTable& aHanded, Instant aNow)
+{
+  ExecutorTickets tickets;
+  tickets.baseEpoch_ = aHanded.epoch_;
+  tickets.latestEpoch_ = aHanded.epoch_;
+  tickets.since_ = aNow;
+  for (const std::uint32_t epoch : aHanded.closedEpochs_) {
+    tickets.epochs_[epoch].closed_ = true;
+  }
+  for (const HandedTicket& handed : aHanded.tickets_) {
+    TicketEntry entry{
+      handed.digest_, kNoAnswer, TicketPhase::kFinished, handed.fate_, handed.reason_
+    };
+    if (handed.fate_ == TicketFate::kAnswered) {
+      entry.answer_ = Remember(aTable.answers_, handed.answer_, LimitsOf(aTable.settings_));
+    }
+    tickets.epochs_[handed.ticket_.epoch_].entries_.emplace(KeyOf(handed.ticket_), entry);
+  }
+  aTable.ticketCount_ += aHanded.tickets_.size();
+  aTable.executors_.emplace(ExecutorKey{ aHanded.executor_, aHanded.incarnation_ },
+                            std::move(tickets));
+}
+
+bool
+CanInherit(const TicketTable& aTable, const std::vector<HandedTable>& aTables)
+{
+  std::size_t tickets = aTable.ticketCount_;
+  for (const HandedTable& table : aTables) {
+    tickets += table.tickets_.size();
+    if (aTable.executors_.contains({ table.executor_, table.incarnation_ })) {
+      return false;
+    }
+  }
+  return tickets <= aTable.settings_.maxTickets_ &&
+         aTable.executors_.size() + aTables.size() <= kMaxExecutors &&
+         aTable.received_.accepted_.size() < kMaxAcceptedHandovers;
+}
+
+/** An inherited executor issues no tickets, so it can be dropped once its last epoch has expired.
+ */
+bool
+IsSpent(const ExecutorTickets& aTickets, std::uint32_t aWindowEpochs)
+{
+  return aTickets.epochs_.empty() &&
+         aTickets.latestEpoch_ > std::uint64_t{ aTickets.baseEpoch_ } + aWindowEpochs + 1;
+}
+
+} // namespace
+
+TicketTable
+MakeTicketTable(const TicketSettings& aSettings,
+                NodeId aSelf,
+                Incarnation aIncarnation,
+                Instant aNow)
+{
+  TicketTable table;
+  table.settings_ = aSettings;
+  table.self_ = aSelf;
+  table.incarnation_ = aIncarnation;
+  table.startedAt_ = aNow;
+  table.executors_[OwnKey(table)].since_ = aNow;
+  return table;
+}
+
+std::uint32_t
+CurrentEpoch(const TicketTable& aTable, Instant aNow)
+{
+  return EpochAt(aTable.executors_.at(OwnKey(aTable)), aTable.settings_.epochLength_, aNow);
+}
+
+Step<TicketTable, TicketDecision>
+PresentTicket(TicketTable aTable,
+              const Ticket& aTicket,
+              std::uint64_t aDigest,
+              RequestId aRequester,
+              Instant aNow)
+{
+  if (aTable.successor_) {
+    TicketDecision moved = Refuse(Verdict::kMayHaveRun, Reason::kTicketMoved);
+    moved.successor_ = aTable.successor_->executor_;
+    return { std::move(aTable), moved };
+  }
+  ExecutorTickets* executor = FindExecutor(aTable, aTicket);
+  if (executor == nullptr) {
+    return { std::move(aTable), Refuse(Verdict::kMayHaveRun, Reason::kTicketOfLostExecutor) };
+  }
+  executor->latestEpoch_ = EpochAt(*executor, aTable.settings_.epochLength_, aNow);
+  const TicketEntry* entry = FindEntry(*executor, aTicket);
+  TicketDecision decision = entry != nullptr
+                              ? DecideRepeat(aTable, *entry, aTicket, aDigest, aRequester)
+                              : DecideNew(aTable, *executor, aTicket, aDigest, aRequester);
+  return { std::move(aTable), std::move(decision) };
+}
+
+Step<TicketTable, bool>
+StartTicket(TicketTable aTable, const Ticket& aTicket)
+{
+  TicketEntry* entry = aTable.successor_ ? nullptr : FindEntry(aTable, aTicket);
+  const bool start = entry != nullptr && entry->phase_ == TicketPhase::kQueued;
+  if (start) {
+    entry->phase_ = TicketPhase::kRunning;
+  }
+  return { std::move(aTable), start };
+}
+
+Step<TicketTable, Waiters>
+CompleteTicket(TicketTable aTable, const Ticket& aTicket, const Answer& aAnswer)
+{
+  TicketEntry* entry = FindEntry(aTable, aTicket);
+  if (entry == nullptr || entry->phase_ != TicketPhase::kRunning) {
+    return { std::move(aTable), {} };
+  }
+  entry->answer_ = Remember(aTable.answers_, aAnswer, LimitsOf(aTable.settings_));
+  Waiters waiters =
+    FinishTicket(aTable,
+                 aTicket,
+                 entry->answer_ == kNoAnswer ? TicketFate::kAnsweredNotKept : TicketFate::kAnswered,
+                 Reason::kNone);
+  return { std::move(aTable), std::move(waiters) };
+}
+
+Step<TicketTable, Waiters>
+CloseTicket(TicketTable aTable, const Ticket& aTicket, Reason aReason)
+{
+  const TicketEntry* entry = FindEntry(aTable, aTicket);
+  if (entry == nullptr || entry->phase_ != TicketPhase::kQueued) {
+    return { std::move(aTable), {} };
+  }
+  Waiters waiters = FinishTicket(aTable, aTicket, TicketFate::kClosed, aReason);
+  return { std::move(aTable), std::move(waiters) };
+}
+
+Step<TicketTable, Waiters>
+AbandonTicket(TicketTable aTable, const Ticket& aTicket, Reason aReason)
+{
+  const TicketEntry* entry = FindEntry(aTable, aTicket);
+  if (entry == nullptr || entry->phase_ == TicketPhase::kFinished) {
+    return { std::move(aTable), {} };
+  }
+  Waiters waiters = FinishTicket(aTable, aTicket, TicketFate::kMayHaveRun, aReason);
+  return { std::move(aTable), std::move(waiters) };
+}
+
+Step<TicketTable, std::size_t>
+LeaveTicket(TicketTable aTable, const Ticket& aTicket, RequestId aRequester)
+{
+  const auto unfinished = aTable.unfinished_.find(aTicket);
+  if (unfinished == aTable.unfinished_.end()) {
+    return { std::move(aTable), 0 };
+  }
+  Waiters& waiters = unfinished->second.waiters_;
+  std::erase(waiters, aRequester);
+  const std::size_t left = waiters.size();
+  return { std::move(aTable), left };
+}
+
+TicketTable
+AdvanceTickets(TicketTable aTable, Instant aNow)
+{
+  DropStaleHandovers(aTable.received_, aNow);
+  if (aTable.successor_) {
+    // A repeated BeginHandover() returns the same parts, so the tables stay as they are.
+    return aTable;
+  }
+  const ExecutorKey own = OwnKey(aTable);
+  const std::uint32_t window = aTable.settings_.windowEpochs_;
+  for (auto item = aTable.executors_.begin(); item != aTable.executors_.end();) {
+    ExecutorTickets& tickets = item->second;
+    tickets.latestEpoch_ = EpochAt(tickets, aTable.settings_.epochLength_, aNow);
+    aTable.ticketCount_ -= DropExpired(tickets, aTable.answers_, window);
+    const bool drop = item->first != own && IsSpent(tickets, window);
+    item = drop ? aTable.executors_.erase(item) : std::next(item);
+  }
+  return aTable;
+}
+
+std::size_t
+UnfinishedTickets(const TicketTable& aTable)
+{
+  return aTable.unfinished_.size();
+}
+
+std::size_t
+TicketCount(const TicketTable& aTable)
+{
+  return aTable.ticketCount_;
+}
+
+Step<TicketTable, std::optional<Ticket>>
+ChildTicket(TicketTable aTable, const ChildTicketRequest& aRequest)
+{
+  if (!IsRunning(aTable, aRequest.parent_)) {
+    return { std::move(aTable), std::nullopt };
+  }
+  auto& children = aTable.unfinished_.at(aRequest.parent_).children_;
+  const auto recorded = children.find(aRequest.callIndex_);
+  if (recorded != children.end()) {
+    const Ticket ticket = recorded->second;
+    return { std::move(aTable), ticket };
+  }
+  if (children.size() >= kMaxChildTickets) {
+    return { std::move(aTable), std::nullopt };
+  }
+  children.emplace(aRequest.callIndex_, aRequest.proposed_);
+  return { std::move(aTable), aRequest.proposed_ };
+}
+
+TicketTable
+ReleaseChildTicket(TicketTable aTable,
+                   const Ticket& aParent,
+                   std::uint32_t aCallIndex,
+                   const Ticket& aRefused)
+{
+  const auto parent = aTable.unfinished_.find(aParent);
+  if (parent != aTable.unfinished_.end()) {
+    auto& children = parent->second.children_;
+    const auto recorded = children.find(aCallIndex);
+    if (recorded != children.end() && recorded->second == aRefused) {
+      children.erase(recorded);
+    }
+  }
+  return aTable;
+}
+
+Step<TicketTable, std::vector<Handover>>
+BeginHandover(TicketTable aTable,
+              NodeId aSuccessor,
+              Incarnation aSuccessorIncarnation,
+              Instant aNow)
+{
+  const ExecutorKey successor{ aSuccessor, aSuccessorIncarnation };
+  if (!aTable.unfinished_.empty() || aSuccessor == NodeId{} || aSuccessor == aTable.self_ ||
+      (aTable.successor_ && *aTable.successor_ != successor)) {
+    return { std::move(aTable), {} };
+  }
+  if (!aTable.successor_) {
+    aTable.successor_ = successor;
+    aTable.received_.incomplete_.clear();
+    for (auto& [key, tickets] : aTable.executors_) {
+      tickets.latestEpoch_ = EpochAt(tickets, aTable.settings_.epochLength_, aNow);
+    }
+  }
+  std::map<ExecutorKey, HandedTable> tables;
+  for (const auto& [key, tickets] : aTable.executors_) {
+    tables.emplace(key, ToHandedTable(key, tickets, aTable.answers_));
+  }
+  std::vector<HandedTable> ordered;
+  for (auto& [key, table] : tables) {
+    ordered.push_back(std::move(table));
+  }
+  std::vector<Handover> parts = SplitIntoParts(OwnKey(aTable), successor, std::move(ordered));
+  return { std::move(aTable), std::move(parts) };
+}
+
+Step<TicketTable, std::optional<bool>>
+AcceptHandover(TicketTable aTable, const Handover& aPart, Instant aNow)
+{
+  const ExecutorKey from{ aPart.from_, aPart.incarnation_ };
+  const ExecutorKey successor{ aPart.successor_, aPart.successorIncarnation_ };
+  if (successor != OwnKey(aTable)) {
+    return { std::move(aTable), std::nullopt };
+  }
+  if (aTable.received_.accepted_.contains(from)) {
+    return { std::move(aTable), true };
+  }
+  if (aTable.successor_) {
+    return { std::move(aTable), std::nullopt };
+  }
+  const HandoverLimits limits{ aTable.settings_.maxTickets_, aTable.settings_.maxAnswerBytes_ };
+  const PartOutcome outcome = CollectPart(aTable.received_, aPart, limits, aNow);
+  if (outcome == PartOutcome::kRefused) {
+    return { std::move(aTable), std::nullopt };
+  }
+  if (outcome == PartOutcome::kMissingParts) {
+    return { std::move(aTable), false };
+  }
+  const std::vector<HandedTable> tables = TakeTables(aTable.received_, from);
+  if (!CanInherit(aTable, tables)) {
+    return { std::move(aTable), std::nullopt };
+  }
+  for (const HandedTable& table : tables) {
+    Inherit(aTable, table, aNow);
+  }
+  aTable.received_.accepted_.insert(from);
+  return { std::move(aTable), true };
+}
+
+Step<TicketTable, bool>
+ConfirmHandover(TicketTable aTable, const HandoverAccepted& aAccepted)
+{
+  const bool ends = aTable.successor_ && !aTable.handoverConfirmed_ &&
+                    ExecutorKey{ aAccepted.from_, aAccepted.incarnation_ } == OwnKey(aTable);
+  aTable.handoverConfirmed_ = aTable.handoverConfirmed_ || ends;
+  return { std::move(aTable), ends };
+}
+
+NodeId
+SuccessorOf(const TicketTable& aTable)
+{
+  return aTable.successor_ ? aTable.successor_->executor_ : NodeId{};
+}
+
+} // namespace fulmarway
--- a/packages/policy/TicketTable.h
+++ b/packages/policy/TicketTable.h
@@ -8,9 +8,14 @@
 #include "model/PeerMessage.h"
 #include "model/Step.h"
 #include "model/Time.h"
+#include "policy/ExecutorTickets.h"
+#include "policy/RememberedAnswers.h"
+#include "policy/TicketHandover.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace fulmarway {
@@ -59,12 +64,45 @@
 /** Requests that wait for a ticket, each to be sent the outcome. */
 using Waiters = std::vector<RequestId>;
 
+/** At most this many requests wait for one ticket; more repeats are refused. */
+inline constexpr std::size_t kMaxWaiters = 64;
+/** At most this many deeper calls are recorded for one ticket. */
+inline constexpr std::size_t kMaxChildTickets = 256;
+
+/** What is kept for a queued or running ticket only. */
+struct UnfinishedTicket
+{
+  Waiters waiters_;
+  /** Tickets of deeper calls by call index. */
+  std::map<std::uint32_t, Ticket> children_;
+
+  bool operator==(const UnfinishedTicket&) const = default;
+};
+
+struct TicketHash
+{
+  std::size_t operator()(const Ticket& aTicket) const noexcept
+  {
+    return TicketKeyHash{}(KeyOf(aTicket));
+  }
+};
+
 struct TicketTable
 {
   TicketSettings settings_;
   NodeId self_;
   Incarnation incarnation_;
   Instant startedAt_;
+  /** The own tickets and those that were handed to this node. */
+  std::unordered_map<ExecutorKey, ExecutorTickets, ExecutorKeyHash> executors_;
+  /** Entries of all executors. */
+  std::size_t ticketCount_ = 0;
+  std::unordered_map<Ticket, UnfinishedTicket, TicketHash> unfinished_;
+  RememberedAnswers answers_;
+  ReceivedHandovers received_;
+  /** Set by BeginHandover(), never changed afterwards. */
+  std::optional<ExecutorKey> successor_;
+  bool handoverConfirmed_ = false;
 
   bool operator==(const TicketTable&) const = default;
 };
@@ -79,7 +117,10 @@
 std::uint32_t
 CurrentEpoch(const TicketTable& aTable, Instant aNow);
 
-/** A request with an authentic ticket has arrived. aDigest is RequestDigest() of the request. */
+/** A request with an authentic ticket has arrived. aDigest is RequestDigest() of the request.
+ *
+ * Refusals have no retryAfter_; the caller of this function sets it. A ticket more than one epoch
+ * ahead is refused as kMayHaveRun, because it is not recorded and may run once its epoch comes. */
 Step<TicketTable, TicketDecision>
 PresentTicket(TicketTable aTable,
               const Ticket& aTicket,
@@ -96,7 +137,8 @@
 Step<TicketTable, Waiters>
 CompleteTicket(TicketTable aTable, const Ticket& aTicket, const Answer& aAnswer);
 
-/** Refused before StartTicket(): the ticket never runs. Returns all waiters. */
+/** Refused before StartTicket(): the ticket never runs, and repeats are refused with aReason.
+ * Returns all waiters; none, without any effect, for a ticket that was started. */
 Step<TicketTable, Waiters>
 CloseTicket(TicketTable aTable, const Ticket& aTicket, Reason aReason);
 
@@ -137,19 +179,27 @@
 Step<TicketTable, std::optional<Ticket>>
 ChildTicket(TicketTable aTable, const ChildTicketRequest& aRequest);
 
-/** The recorded ticket was refused as not run, so a new one may be recorded for the call index. */
+/** aRefused was refused as not run, so a new ticket may be recorded for the call index. Has no
+ * effect when another ticket is recorded by now, so that a repeated refusal does not release it. */
 TicketTable
-ReleaseChildTicket(TicketTable aTable, const Ticket& aParent, std::uint32_t aCallIndex);
+ReleaseChildTicket(TicketTable aTable,
+                   const Ticket& aParent,
+                   std::uint32_t aCallIndex,
+                   const Ticket& aRefused);
 
 /** Names the successor, once: from here on no ticket runs on this node. Returns the parts to send;
  * a repeated call with the same successor returns the same parts. Empty when another successor was
- * named before, or tickets are unfinished. */
+ * named before, when tickets are unfinished, or when aSuccessor is zero or this node. A successor
+ * with another incarnation is another successor. */
 Step<TicketTable, std::vector<Handover>>
-BeginHandover(TicketTable aTable, NodeId aSuccessor, Instant aNow);
+BeginHandover(TicketTable aTable,
+              NodeId aSuccessor,
+              Incarnation aSuccessorIncarnation,
+              Instant aNow);
 
 /** Takes one part. True when all parts are here, also for a repeated part: acknowledge it. False
- * when parts are missing. nullopt when it cannot be accepted because this node handed its own
- * tables over or the tables would exceed the bounds. */
+ * when parts are missing. nullopt when it cannot be accepted because it is meant for another
+ * incarnation, this node handed its own tables over, or the tables would exceed the bounds. */
 Step<TicketTable, std::optional<bool>>
 AcceptHandover(TicketTable aTable, const Handover& aPart, Instant aNow);
 
