Add HTTP framing, non-blocking server and client

Cause: callers, backend servers and the log service are met over HTTP, and POCO's own server uses one thread for each connection, which does not fit 1,000 connections into the memory bound of a node. Ruled out: close-delimited responses; their end cannot be told from a cut, so they count as lost rather than as a whole answer. Conclusion: POCO parses heads, the project frames bodies.

--- a/packages/model/Config.h
+++ b/packages/model/Config.h
@@ -190,7 +190,13 @@
   auto operator<=>(const AnnounceRecord&) const = default;
 };
 
-using LogRecord = std::variant<CommandRecord, SnapshotRecord, AnnounceRecord>;
+/** A record that could not be decoded. It keeps its offset, so that a reader gets past it. */
+struct UnreadableRecord
+{
+  auto operator<=>(const UnreadableRecord&) const = default;
+};
+
+using LogRecord = std::variant<CommandRecord, SnapshotRecord, AnnounceRecord, UnreadableRecord>;
 
 /** A record with the place that the log service gave it. */
 struct OffsetRecord
--- /dev/null
+++ b/packages/node/HttpClient.cpp
@@ -0,0 +1,178 @@
+#include "node/HttpClient.h"
+
+#include <Poco/Exception.h>
+
+namespace fulmarway {
+
+HttpClient::HttpClient(const HttpClientSettings& aSettings, Poller& aPoller)
+  : settings_(aSettings)
+  , poller_(aPoller)
+{
+}
+
+std::uint64_t
+HttpClient::Connect()
+{
+  const std::uint64_t id = nextId_++;
+  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, {} };
+  poller_.Add({ settings_.role_, id }, connection.channel_.Socket());
+  connections_.emplace(id, std::move(connection));
+  return id;
+}
+
+std::optional<std::uint64_t>
+HttpClient::FindIdle(Instant aNow) const
+{
+  for (const auto& [id, connection] : connections_) {
+    if (!connection.token_ && aNow < connection.idleSince_ + settings_.maxIdle_) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+HttpClient::Send(std::uint64_t aToken,
+                 Poco::Net::HTTPRequest& aHead,
+                 std::string_view aBody,
+                 Instant aNow,
+                 Instant aDeadline)
+{
+  aHead.setHost(settings_.address_.host().toString(), settings_.address_.port());
+  aHead.setKeepAlive(true);
+  std::uint64_t id = 0;
+  try {
+    const auto idle = FindIdle(aNow);
+    id = idle ? *idle : Connect();
+  } catch (const Poco::Exception&) {
+    results_.push_back({ aToken, ExchangeOutcome::kNotSent, std::nullopt });
+    return;
+  }
+  Connection& connection = connections_.at(id);
+  connection.token_ = aToken;
+  connection.writtenBefore_ = connection.channel_.BytesWritten();
+  connection.deadline_ = aDeadline;
+  byToken_.insert_or_assign(aToken, id);
+  connection.channel_.Queue(FormatHttp(aHead, aBody));
+  if (connection.channel_.Flush() == ChannelStatus::kClosed) {
+    Fail(id);
+    return;
+  }
+  poller_.SetWantsWrite({ settings_.role_, id }, connection.channel_.WantsWrite());
+}
+
+void
+HttpClient::Cancel(std::uint64_t aToken)
+{
+  const auto found = byToken_.find(aToken);
+  if (found != byToken_.end()) {
+    Close(found->second);
+  }
+}
+
+void
+HttpClient::Close(std::uint64_t aId)
+{
+  Connection& connection = connections_.at(aId);
+  if (connection.token_) {
+    byToken_.erase(*connection.token_);
+  }
+  poller_.Remove({ settings_.role_, aId });
+  connection.channel_.Close();
+  connections_.erase(aId);
+}
+
+void
+HttpClient::Fail(std::uint64_t aId)
+{
+  const Connection& connection = connections_.at(aId);
+  if (connection.token_) {
+    const bool isWritten = connection.channel_.BytesWritten() > connection.writtenBefore_;
+    results_.push_back({ *connection.token_,
+                         isWritten ? ExchangeOutcome::kLost : ExchangeOutcome::kNotSent,
+                         std::nullopt });
+  }
+  Close(aId);
+}
+
+void
+HttpClient::HandleReady(const ReadySocket& aReady, Instant aNow)
+{
+  const std::uint64_t id = aReady.key_.id_;
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return;
+  }
+  Connection& connection = found->second;
+  if (aReady.writable_ && connection.channel_.Flush() == ChannelStatus::kClosed) {
+    Fail(id);
+    return;
+  }
+  if (aReady.readable_) {
+    const ChannelStatus status = connection.channel_.Read(connection.input_);
+    if (connection.token_) {
+      TakeResponse(id, aNow);
+    }
+    // An idle connection has nothing to say; the server closes it or breaks the protocol.
+    if (connections_.contains(id) && (status == ChannelStatus::kClosed || !connection.token_)) {
+      if (status == ChannelStatus::kClosed || !connection.input_.empty()) {
+        Fail(id);
+        return;
+      }
+    }
+  }
+  if (connections_.contains(id)) {
+    poller_.SetWantsWrite({ settings_.role_, id }, connection.channel_.WantsWrite());
+  }
+}
+
+void
+HttpClient::TakeResponse(std::uint64_t aId, Instant aNow)
+{
+  Connection& connection = connections_.at(aId);
+  auto taken = TakeHttpResponse(connection.input_, settings_.maxBodyBytes_);
+  if (!taken) {
+    Fail(aId);
+    return;
+  }
+  if (!*taken) {
+    return;
+  }
+  const bool keepsAlive = (*taken)->head_.getKeepAlive() && connection.input_.empty() &&
+                          connection.channel_.PendingBytes() == 0;
+  results_.push_back({ *connection.token_, ExchangeOutcome::kAnswered, std::move(**taken) });
+  byToken_.erase(*connection.token_);
+  connection.token_.reset();
+  connection.idleSince_ = aNow;
+  if (!keepsAlive) {
+    Close(aId);
+  }
+}
+
+void
+HttpClient::Advance(Instant aNow)
+{
+  std::vector<std::uint64_t> late;
+  std::vector<std::uint64_t> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.token_ && aNow >= connection.deadline_) {
+      late.push_back(id);
+    } else if (!connection.token_ && aNow >= connection.idleSince_ + settings_.maxIdle_) {
+      idle.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : late) {
+    Fail(id);
+  }
+  for (const std::uint64_t id : idle) {
+    Close(id);
+  }
+}
+
+std::vector<HttpResult>
+HttpClient::TakeResults()
+{
+  return std::exchange(results_, {});
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/node/HttpServer.h
@@ -0,0 +1,102 @@
+/** \file
+ * A non-blocking HTTP/1.1 server. A connection carries one request at a time.
+ */
+#pragma once
+
+#include "model/Ids.h"
+#include "node/Poller.h"
+#include "node/TcpChannel.h"
+#include "wire/HttpFraming.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmarway {
+
+/** Where a server stands in the poll set, and its bounds. */
+struct HttpServerSettings
+{
+  Poco::Net::SocketAddress address_;
+  SocketRole listenerRole_ = SocketRole::kCallerListener;
+  SocketRole connectionRole_ = SocketRole::kCallerConnection;
+  std::size_t maxConnections_ = 2000;
+  std::size_t maxBodyBytes_ = 4U << 20;
+};
+
+/** A whole request that waits for Reply(). */
+struct ArrivedRequest
+{
+  ExchangeId exchange_;
+  /** IP number without the port. */
+  std::string peer_;
+  HttpRequestMessage message_;
+};
+
+/** What happened on one connection. */
+struct HttpServerEvents
+{
+  std::vector<ArrivedRequest> requests_;
+  /** Exchanges whose client went away before the reply. */
+  std::vector<ExchangeId> disconnected_;
+  std::uint64_t invalid_ = 0;
+};
+
+class HttpServer
+{
+public:
+  /** Binds and listens. Throws Poco::Exception when the address cannot be used. */
+  HttpServer(const HttpServerSettings& aSettings, Poller& aPoller);
+
+  /** Accepts waiting connections. */
+  void Accept(Instant aNow);
+
+  HttpServerEvents HandleReady(const ReadySocket& aReady, Instant aNow);
+
+  /** Answers an exchange; one that is gone is ignored. May read the connection's next request. */
+  HttpServerEvents Reply(ExchangeId aExchange,
+                         Poco::Net::HTTPResponse& aHead,
+                         std::string_view aBody,
+                         Instant aNow);
+
+  /** Closes the listener; open connections end after their next reply. */
+  void StopAccepting();
+
+  /** Closes connections that have sent no request for a long time. */
+  void CloseIdle(Instant aNow);
+
+  std::size_t ConnectionCount() const { return connections_.size(); }
+
+  /** Whether replies are still in output buffers. */
+  bool HasPendingOutput() const;
+
+private:
+  struct Connection
+  {
+    TcpChannel channel_;
+    std::string peer_;
+    std::string input_;
+    std::optional<ExchangeId> exchange_;
+    bool keepAlive_ = true;
+    bool closing_ = false;
+    Instant lastUsedAt_;
+  };
+
+  void ReadRequest(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents);
+  void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
+  void Drop(std::uint64_t aId, HttpServerEvents& aEvents);
+  /** Sends what is buffered; drops the connection when that fails or it is done. */
+  void Flush(std::uint64_t aId, HttpServerEvents& aEvents);
+
+  HttpServerSettings settings_;
+  Poller& poller_;
+  Poco::Net::ServerSocket listener_;
+  bool accepting_ = true;
+  std::uint64_t nextId_ = 1;
+  std::unordered_map<std::uint64_t, Connection> connections_;
+  std::unordered_map<ExchangeId, std::uint64_t> exchanges_;
+};
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/node/Poller.h
@@ -0,0 +1,75 @@
+/** \file
+ * The poll set of the event loop. Sockets are addressed by keys; a poll returns keys, never
+ * objects.
+ */
+#pragma once
+
+#include "model/Time.h"
+
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/Socket.h>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace fulmarway {
+
+/** Which part of the event loop a socket belongs to. */
+enum class SocketRole : std::uint8_t
+{
+  kCallerListener,
+  kCallerConnection,
+  kAdminListener,
+  kAdminConnection,
+  kPeerListener,
+  kAcceptedLink,
+  kPeerLink,
+  kBackendConnection,
+  kLogConnection,
+  kGossip,
+};
+
+struct SocketKey
+{
+  SocketRole role_ = SocketRole::kGossip;
+  std::uint64_t id_ = 0;
+
+  auto operator<=>(const SocketKey&) const = default;
+};
+
+struct ReadySocket
+{
+  SocketKey key_;
+  bool readable_ = false;
+  bool writable_ = false;
+};
+
+class Poller
+{
+public:
+  /** The socket is polled for reading until Remove(). */
+  void Add(const SocketKey& aKey, const Poco::Net::Socket& aSocket);
+
+  /** Unknown keys are ignored. */
+  void Remove(const SocketKey& aKey);
+
+  /** Polls the socket for writing too, or no longer. */
+  void SetWantsWrite(const SocketKey& aKey, bool aWantsWrite);
+
+  /** Waits at most aTimeout. A socket with an error counts as readable. */
+  std::vector<ReadySocket> Poll(Duration aTimeout);
+
+private:
+  struct Entry
+  {
+    Poco::Net::Socket socket_;
+    bool wantsWrite_ = false;
+  };
+
+  Poco::Net::PollSet pollSet_;
+  std::map<SocketKey, Entry> entries_;
+  std::map<Poco::Net::Socket, SocketKey> keys_;
+};
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/node/TcpChannel.h
@@ -0,0 +1,59 @@
+/** \file
+ * A non-blocking TCP connection with an output buffer.
+ */
+#pragma once
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <cstdint>
+#include <string>
+
+namespace fulmarway {
+
+enum class ChannelStatus : std::uint8_t
+{
+  kOpen,
+  /** The other side closed it, or it failed. */
+  kClosed,
+};
+
+class TcpChannel
+{
+public:
+  /** Takes an accepted connection. */
+  explicit TcpChannel(Poco::Net::StreamSocket aSocket);
+
+  /** Starts to connect; a failure shows at the first Flush() or Read(). */
+  explicit TcpChannel(const Poco::Net::SocketAddress& aAddress);
+
+  /** Appends bytes to the output buffer. */
+  void Queue(std::string aBytes);
+
+  /** Writes what the socket takes. */
+  ChannelStatus Flush();
+
+  /** Appends what has arrived to aInput. */
+  ChannelStatus Read(std::string& aInput);
+
+  /** Bytes that the socket has taken since it was opened. */
+  std::uint64_t BytesWritten() const { return bytesWritten_; }
+
+  /** Bytes in the output buffer. */
+  std::size_t PendingBytes() const { return output_.size() - outputStart_; }
+
+  /** Whether the socket must be polled for writing. */
+  bool WantsWrite() const { return connecting_ || PendingBytes() > 0; }
+
+  const Poco::Net::StreamSocket& Socket() const { return socket_; }
+
+  void Close();
+
+private:
+  Poco::Net::StreamSocket socket_;
+  bool connecting_ = false;
+  std::string output_;
+  std::size_t outputStart_ = 0;
+  std::uint64_t bytesWritten_ = 0;
+};
+
+} // namespace fulmarway
--- a/packages/platform/LogProtocol.cpp
+++ b/packages/platform/LogProtocol.cpp
@@ -100,11 +100,9 @@
     }
     batch.next_ = raw->offset_ + 1;
     auto record = DecodeLogRecord(aKey, raw->bytes_);
-    if (record) {
-      batch.records_.push_back({ raw->offset_, std::move(*record) });
-    } else {
-      ++batch.undecodable_;
-    }
+    batch.undecodable_ += record ? 0 : 1;
+    batch.records_.push_back(
+      { raw->offset_, record ? std::move(*record) : LogRecord{ UnreadableRecord{} } });
   }
   return batch;
 }
--- a/packages/platform/LogProtocol.h
+++ b/packages/platform/LogProtocol.h
@@ -26,8 +26,8 @@
   bool operator==(const LogRequest&) const = default;
 };
 
-/** What the log service answered to a read. Records that do not decode are left out and counted:
- * anyone who can append could otherwise stop all readers. */
+/** What the log service answered to a read. Records that do not decode are counted and kept as
+ * UnreadableRecord: anyone who can append could otherwise stop all readers. */
 struct LogBatch
 {
   /** Offset of the earliest record that is still kept. */
--- a/packages/policy/CommandFlow.cpp
+++ b/packages/policy/CommandFlow.cpp
@@ -2,8 +2,6 @@
 
 #include "policy/Control.h"
 
-#include <algorithm>
-
 namespace fulmarway {
 
 namespace {
@@ -12,25 +10,12 @@
 constexpr Duration kCommandAppendRetry = std::chrono::milliseconds(200);
 constexpr Duration kCommandReadInterval = std::chrono::milliseconds(50);
 
-CommandStatus
-StatusOf(CommandOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case CommandOutcome::kAccepted:
-      return CommandStatus::kAccepted;
-    case CommandOutcome::kConflict:
-      return CommandStatus::kConflict;
-    case CommandOutcome::kRejected:
-      return CommandStatus::kRejected;
-  }
-  return CommandStatus::kUnknown;
-}
-
 void
 Reply(ReduceContext& aContext, ExchangeId aExchange, const AuditEntry& aEntry)
 {
   aContext.effects_.push_back(ReplyToCommand{
-    aExchange, StatusOf(aEntry.outcome_), aEntry.version_, aEntry.offset_, aEntry.detail_ });
+    aExchange,
+    { ReplyOutcomeOf(aEntry.outcome_), aEntry.version_, aEntry.offset_, aEntry.detail_ } });
 }
 
 void
@@ -41,15 +26,15 @@
   aContext.effects_.push_back(AppendLog{ aToken, aCommand.record_ });
 }
 
-/** The audit entry of a command that the log already contains; nullptr when there is none. */
-const AuditEntry*
-FindApplied(const NodeState& aState, CommandId aId)
+CommandReply
+TimedOutReply(std::uint64_t aVersion, bool aMayTakeEffect)
 {
-  const auto& audit = aState.log_.state_.audit_;
-  const auto found = std::find_if(audit.rbegin(), audit.rend(), [&](const AuditEntry& aEntry) {
-    return aEntry.record_.id_ == aId;
-  });
-  return found == audit.rend() ? nullptr : &*found;
+  if (aMayTakeEffect) {
+    return {
+      ReplyOutcome::kUnknown, aVersion, 0, "the command may take effect later; ask for it by its id"
+    };
+  }
+  return { ReplyOutcome::kUnavailable, aVersion, 0, "the log service does not accept commands" };
 }
 
 } // namespace
@@ -64,7 +49,7 @@
 void
 HandleCommand(NodeState& aState, ReduceContext& aContext, const CommandArrived& aEvent)
 {
-  if (const AuditEntry* applied = FindApplied(aState, aEvent.id_)) {
+  if (const AuditEntry* applied = FindCommand(aState.log_.state_, aEvent.id_)) {
     Reply(aContext, aEvent.exchange_, *applied);
     return;
   }
@@ -72,13 +57,13 @@
   const auto problem = CheckCommand(ConfigOf(aState), aEvent.command_);
   if (problem) {
     aContext.effects_.push_back(
-      ReplyToCommand{ aEvent.exchange_, CommandStatus::kRejected, version, 0, *problem });
+      ReplyToCommand{ aEvent.exchange_, { ReplyOutcome::kRejected, version, 0, *problem } });
     return;
   }
   ControlState& control = aState.control_;
   if (control.commands_.size() >= kMaxPendingCommands) {
     aContext.effects_.push_back(ReplyToCommand{
-      aEvent.exchange_, CommandStatus::kUnavailable, version, 0, "too many pending commands" });
+      aEvent.exchange_, { ReplyOutcome::kUnavailable, version, 0, "too many pending commands" } });
     return;
   }
   PendingCommand command;
@@ -135,18 +120,13 @@
   for (auto entry = commands.begin(); entry != commands.end();) {
     PendingCommand& command = entry->second;
     // A configuration that was learned from a peer may already contain the command.
-    if (const AuditEntry* applied = FindApplied(aState, command.record_.id_)) {
+    if (const AuditEntry* applied = FindCommand(aState.log_.state_, command.record_.id_)) {
       Reply(aContext, command.exchange_, *applied);
       entry = commands.erase(entry);
     } else if (aContext.now_ >= command.deadline_) {
       const bool isUnknown = command.mayBeAppended_ || command.appending_;
       aContext.effects_.push_back(
-        ReplyToCommand{ command.exchange_,
-                        isUnknown ? CommandStatus::kUnknown : CommandStatus::kUnavailable,
-                        ConfigOf(aState).version_,
-                        0,
-                        isUnknown ? "the command may take effect later; ask for it by its id"
-                                  : "the log service does not accept commands" });
+        ReplyToCommand{ command.exchange_, TimedOutReply(ConfigOf(aState).version_, isUnknown) });
       entry = commands.erase(entry);
     } else {
       if (!command.mayBeAppended_ && !command.appending_ && aContext.now_ >= command.nextTryAt_) {
--- a/packages/policy/Control.cpp
+++ b/packages/policy/Control.cpp
@@ -111,8 +111,8 @@
 {
   ControlState& control = aState.control_;
   const Duration interval = aState.settings_.logRetention_ / kSnapshotsPerRetention;
-  if (control.snapshotting_ || !aState.log_.complete_ || ConfigOf(aState).version_ == 0 ||
-      !IsDelegate(aState.membership_) || aContext.now_ < control.lastSnapshotAt_ + interval) {
+  if (control.snapshotting_ || ConfigOf(aState).version_ == 0 || !IsDelegate(aState.membership_) ||
+      aContext.now_ < control.lastSnapshotAt_ + interval) {
     return;
   }
   const Duration ownDelay =
@@ -120,9 +120,13 @@
   if (aContext.now_ < control.lastSnapshotAt_ + interval + ownDelay) {
     return;
   }
+  auto snapshot = MakeSnapshot(aState.log_);
+  if (!snapshot) {
+    return;
+  }
   control.snapshotting_ = true;
   aState.counters_.Add(CounterId::kLogAppends);
-  aContext.effects_.push_back(AppendLog{ kSnapshotToken, SnapshotRecord{ aState.log_.state_ } });
+  aContext.effects_.push_back(AppendLog{ kSnapshotToken, std::move(*snapshot) });
 }
 
 /** Counts members and those that have the version in force, for each failure domain. */
@@ -181,7 +185,7 @@
       continue;
     }
     aContext.effects_.push_back(
-      ReplyInForce{ query->exchange_, query->version_, CountInForce(aState, *query) });
+      ReplyInForce{ query->exchange_, { query->version_, CountInForce(aState, *query) } });
     query = queries.erase(query);
   }
 }
--- a/packages/policy/Effect.h
+++ b/packages/policy/Effect.h
@@ -5,6 +5,7 @@
 
 #include "model/CallerRequest.h"
 #include "model/Config.h"
+#include "model/ControlDocuments.h"
 #include "model/PeerMessage.h"
 #include "policy/Event.h"
 
@@ -82,46 +83,18 @@
   bool operator==(const AppendLog&) const = default;
 };
 
-enum class CommandStatus : std::uint8_t
-{
-  kAccepted,
-  kConflict,
-  kRejected,
-  /** The append may have taken effect. */
-  kUnknown,
-  /** The log service took nothing. */
-  kUnavailable,
-};
-
 struct ReplyToCommand
 {
   ExchangeId exchange_;
-  CommandStatus status_ = CommandStatus::kUnknown;
-  std::uint64_t version_ = 0;
-  std::uint64_t offset_ = 0;
-  std::string detail_;
+  CommandReply reply_;
 
   bool operator==(const ReplyToCommand&) const = default;
 };
 
-/** One failure domain's part of the answer to InForceQueried. */
-struct DomainInForce
-{
-  std::string domain_;
-  /** Members that have not left or died. */
-  std::uint32_t members_ = 0;
-  std::uint32_t inForce_ = 0;
-  /** Whether any member answered. */
-  bool reachable_ = false;
-
-  bool operator==(const DomainInForce&) const = default;
-};
-
 struct ReplyInForce
 {
   ExchangeId exchange_;
-  std::uint64_t version_ = 0;
-  std::vector<DomainInForce> domains_;
+  InForceDocument document_;
 
   bool operator==(const ReplyInForce&) const = default;
 };
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -156,6 +156,22 @@
   }
 }
 
+/** Ends a request that was started but did not run. */
+void
+EndStartedNotRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  if (const auto& ticket = found->second.request_.ticket_) {
+    aState.tickets_ = RevertStart(std::move(aState.tickets_), *ticket);
+  }
+  EndNotRun(aState, aContext, aId, aReason);
+  // The request itself is no waiter when its requester went away.
+  EndRefused(aState, aContext, aId, { Verdict::kNotRun, aReason, std::nullopt });
+}
+
 /** Ends a request whose answer was lost. */
 void
 EndMayHaveRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
@@ -482,9 +498,7 @@
   constexpr std::uint16_t kFirstServerError = 500;
   const bool hasFailed = aEvent.refused_ || aEvent.answer_.status_ >= kFirstServerError;
   if (aEvent.refused_) {
-    EndNotRun(aState, aContext, aEvent.request_, Reason::kShedByQueue);
-    EndRefused(
-      aState, aContext, aEvent.request_, { Verdict::kNotRun, Reason::kShedByQueue, std::nullopt });
+    EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kShedByQueue);
   } else if (ticket) {
     const Waiters waiters =
       Apply(aState.tickets_, CompleteTicket(std::move(aState.tickets_), *ticket, aEvent.answer_));
@@ -511,11 +525,7 @@
   if (aEvent.written_) {
     EndMayHaveRun(aState, aContext, aEvent.request_, Reason::kBackendLost);
   } else {
-    EndNotRun(aState, aContext, aEvent.request_, Reason::kBackendUnreachable);
-    EndRefused(aState,
-               aContext,
-               aEvent.request_,
-               { Verdict::kNotRun, Reason::kBackendUnreachable, std::nullopt });
+    EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kBackendUnreachable);
   }
   FinishAdmission(aState, aContext, aEvent.request_, CompletionKind::kFailed);
 }
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -109,8 +109,14 @@
 SendHandover(NodeState& aState, ReduceContext& aContext, NodeId aSuccessor)
 {
   aState.lifecycle_.nextHandoverSendAt_ = aContext.now_ + kHandoverSendInterval;
-  const auto parts =
-    Apply(aState.tickets_, BeginHandover(std::move(aState.tickets_), aSuccessor, aContext.now_));
+  const MemberRecord* successor = FindMember(aState.membership_, aSuccessor);
+  if (successor == nullptr) {
+    return;
+  }
+  const auto parts = Apply(
+    aState.tickets_,
+    BeginHandover(
+      std::move(aState.tickets_), aSuccessor, successor->identity_.incarnation_, aContext.now_));
   for (const Handover& part : parts) {
     aContext.effects_.push_back(SendToPeer{ aSuccessor, PeerAddressOf(aState, aSuccessor), part });
   }
--- /dev/null
+++ b/packages/policy/LinkHealth.cpp
@@ -0,0 +1,42 @@
+#include "policy/LinkHealth.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+LinkHealth
+NoteLinkByte(LinkHealth aHealth, Instant aNow)
+{
+  aHealth.lastByteAt_ = aNow;
+  aHealth.pingedAt_.reset();
+  return aHealth;
+}
+
+LinkHealth
+NoteLinkUse(LinkHealth aHealth, Instant aNow)
+{
+  aHealth.lastByteAt_ = std::max(aHealth.lastByteAt_, aNow);
+  return aHealth;
+}
+
+LinkAction
+CheckLink(const LinkHealth& aHealth, bool aHasOutstanding, Instant aNow)
+{
+  if (!aHasOutstanding) {
+    return aNow >= aHealth.lastByteAt_ + kLinkIdleTimeout ? LinkAction::kCloseIdle
+                                                          : LinkAction::kNone;
+  }
+  if (aHealth.pingedAt_) {
+    return aNow >= *aHealth.pingedAt_ + kLinkPingTimeout ? LinkAction::kAbandon : LinkAction::kNone;
+  }
+  return aNow >= aHealth.lastByteAt_ + kLinkPingAfter ? LinkAction::kPing : LinkAction::kNone;
+}
+
+LinkHealth
+NoteLinkPing(LinkHealth aHealth, Instant aNow)
+{
+  aHealth.pingedAt_ = aNow;
+  return aHealth;
+}
+
+} // namespace fulmarway
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -294,8 +294,10 @@
     if (const auto& parent = call.origin_.parent_; parent && call.origin_.callIndex_) {
       if (const InboundRequest* outer = FindRunning(aState, *parent);
           outer != nullptr && outer->request_.ticket_) {
-        aState.tickets_ = ReleaseChildTicket(
-          std::move(aState.tickets_), *outer->request_.ticket_, *call.origin_.callIndex_);
+        aState.tickets_ = ReleaseChildTicket(std::move(aState.tickets_),
+                                             *outer->request_.ticket_,
+                                             *call.origin_.callIndex_,
+                                             *call.request_.ticket_);
       }
     }
   }
--- a/packages/policy/TicketTable.cpp
+++ b/packages/policy/TicketTable.cpp
@@ -255,6 +255,16 @@
   return { std::move(aTable), start };
 }
 
+TicketTable
+RevertStart(TicketTable aTable, const Ticket& aTicket)
+{
+  TicketEntry* entry = FindEntry(aTable, aTicket);
+  if (entry != nullptr && entry->phase_ == TicketPhase::kRunning) {
+    entry->phase_ = TicketPhase::kQueued;
+  }
+  return aTable;
+}
+
 Step<TicketTable, Waiters>
 CompleteTicket(TicketTable aTable, const Ticket& aTicket, const Answer& aAnswer)
 {
--- a/packages/policy/TicketTable.h
+++ b/packages/policy/TicketTable.h
@@ -133,6 +133,11 @@
 Step<TicketTable, bool>
 StartTicket(TicketTable aTable, const Ticket& aTicket);
 
+/** The started request did not run: no byte of it was written to the backend server, or the backend
+ * server states that it refused it. The ticket can be closed again. */
+TicketTable
+RevertStart(TicketTable aTable, const Ticket& aTicket);
+
 /** The backend server answered. Returns all waiters. */
 Step<TicketTable, Waiters>
 CompleteTicket(TicketTable aTable, const Ticket& aTicket, const Answer& aAnswer);
--- /dev/null
+++ b/packages/wire/HttpFraming.cpp
@@ -0,0 +1,247 @@
+#include "wire/HttpFraming.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr int kMaxHeaderFields = 100;
+
+enum class BodyProblem : std::uint8_t
+{
+  kMalformed,
+  kTooLarge,
+  kNoLength,
+};
+
+/** Where a body ends in the buffer, and its bytes without chunk headers. */
+struct FramedBody
+{
+  std::string body_;
+  std::size_t end_ = 0;
+};
+
+using BodyResult = tl::expected<std::optional<FramedBody>, BodyProblem>;
+
+std::optional<std::size_t>
+ParseNumber(std::string_view aText, int aBase)
+{
+  std::size_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value, aBase);
+  if (aText.empty() || error != std::errc{} || parsedTo != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/** Finds the end of the trailer section that follows the last chunk. */
+std::optional<std::size_t>
+FindTrailerEnd(std::string_view aBuffer, std::size_t aPosition)
+{
+  if (aBuffer.substr(aPosition, kLineEnd.size()) == kLineEnd) {
+    return aPosition + kLineEnd.size();
+  }
+  const std::size_t end = aBuffer.find(kHeadEnd, aPosition);
+  return end == std::string_view::npos ? std::nullopt : std::optional(end + kHeadEnd.size());
+}
+
+BodyResult
+TakeChunked(std::string_view aBuffer, std::size_t aStart, std::size_t aMaxBytes)
+{
+  FramedBody framed;
+  std::size_t position = aStart;
+  while (true) {
+    const std::size_t lineEnd = aBuffer.find(kLineEnd, position);
+    if (lineEnd == std::string_view::npos) {
+      return std::nullopt;
+    }
+    std::string_view line = aBuffer.substr(position, lineEnd - position);
+    line = line.substr(0, std::min(line.find(';'), line.size()));
+    const auto size = ParseNumber(line, 16);
+    if (!size) {
+      return tl::unexpected(BodyProblem::kMalformed);
+    }
+    if (*size > aMaxBytes - framed.body_.size()) {
+      return tl::unexpected(BodyProblem::kTooLarge);
+    }
+    position = lineEnd + kLineEnd.size();
+    if (*size == 0) {
+      const auto end = FindTrailerEnd(aBuffer, position);
+      if (!end) {
+        return std::nullopt;
+      }
+      framed.end_ = *end;
+      return framed;
+    }
+    if (aBuffer.size() < position + *size + kLineEnd.size()) {
+      return std::nullopt;
+    }
+    framed.body_ += aBuffer.substr(position, *size);
+    position += *size;
+    if (aBuffer.substr(position, kLineEnd.size()) != kLineEnd) {
+      return tl::unexpected(BodyProblem::kMalformed);
+    }
+    position += kLineEnd.size();
+  }
+}
+
+BodyResult
+TakeBody(const Poco::Net::HTTPMessage& aHead,
+         std::string_view aBuffer,
+         std::size_t aStart,
+         std::size_t aMaxBytes,
+         std::optional<std::size_t> aDefaultLength)
+{
+  const bool isChunked = aHead.getChunkedTransferEncoding();
+  if (isChunked && aHead.hasContentLength()) {
+    // The two may disagree about where the next message starts.
+    return tl::unexpected(BodyProblem::kMalformed);
+  }
+  if (isChunked) {
+    return TakeChunked(aBuffer, aStart, aMaxBytes);
+  }
+  std::optional<std::size_t> length = aDefaultLength;
+  if (aHead.hasContentLength()) {
+    length = ParseNumber(aHead.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), 10);
+    if (!length) {
+      return tl::unexpected(BodyProblem::kMalformed);
+    }
+  }
+  if (!length) {
+    return tl::unexpected(BodyProblem::kNoLength);
+  }
+  if (*length > aMaxBytes) {
+    return tl::unexpected(BodyProblem::kTooLarge);
+  }
+  if (aBuffer.size() - aStart < *length) {
+    return std::nullopt;
+  }
+  return FramedBody{ std::string(aBuffer.substr(aStart, *length)), aStart + *length };
+}
+
+/** Parses the head; nullopt when it is malformed. */
+template<typename Head>
+std::optional<Head>
+ParseHead(std::string_view aText)
+{
+  try {
+    Head head;
+    head.setFieldLimit(kMaxHeaderFields);
+    std::istringstream stream{ std::string(aText) };
+    head.read(stream);
+    return head;
+  } catch (const Poco::Exception&) {
+    return std::nullopt;
+  }
+}
+
+InvalidRequest
+InvalidBody(BodyProblem aProblem)
+{
+  switch (aProblem) {
+    case BodyProblem::kTooLarge:
+      return { 413, { "body", "larger than the limit" } };
+    case BodyProblem::kNoLength:
+      return { 411, { "body", "its length is not declared" } };
+    case BodyProblem::kMalformed:
+      break;
+  }
+  return { 400, { "body", "malformed length or chunk" } };
+}
+
+bool
+HasNoBody(const Poco::Net::HTTPResponse& aHead)
+{
+  const auto status = aHead.getStatus();
+  return status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
+         status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+}
+
+template<typename Head>
+std::string
+Format(Head& aHead, std::string_view aBody)
+{
+  aHead.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
+  std::ostringstream stream;
+  aHead.write(stream);
+  stream << aBody;
+  return std::move(stream).str();
+}
+
+} // namespace
+
+tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
+TakeHttpRequest(std::string& aBuffer, std::size_t aMaxBodyBytes)
+{
+  const std::size_t headEnd = aBuffer.find(kHeadEnd);
+  if (std::min(headEnd, aBuffer.size()) > kMaxHeaderBytes) {
+    return tl::unexpected(InvalidRequest{ 431, { "head", "larger than the limit" } });
+  }
+  if (headEnd == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t bodyStart = headEnd + kHeadEnd.size();
+  auto head = ParseHead<Poco::Net::HTTPRequest>(std::string_view(aBuffer).substr(0, bodyStart));
+  if (!head) {
+    return tl::unexpected(InvalidRequest{ 400, { "head", "malformed" } });
+  }
+  auto framed = TakeBody(*head, aBuffer, bodyStart, aMaxBodyBytes, 0);
+  if (!framed) {
+    return tl::unexpected(InvalidBody(framed.error()));
+  }
+  if (!*framed) {
+    return std::nullopt;
+  }
+  HttpRequestMessage message{ std::move(*head), std::move((*framed)->body_) };
+  aBuffer.erase(0, (*framed)->end_);
+  return message;
+}
+
+tl::expected<std::optional<HttpResponseMessage>, UserError>
+TakeHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes)
+{
+  const std::size_t headEnd = aBuffer.find(kHeadEnd);
+  if (std::min(headEnd, aBuffer.size()) > kMaxHeaderBytes) {
+    return tl::unexpected(UserError{ "response head", "larger than the limit" });
+  }
+  if (headEnd == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t bodyStart = headEnd + kHeadEnd.size();
+  auto head = ParseHead<Poco::Net::HTTPResponse>(std::string_view(aBuffer).substr(0, bodyStart));
+  if (!head) {
+    return tl::unexpected(UserError{ "response head", "malformed" });
+  }
+  const auto defaultLength = HasNoBody(*head) ? std::optional<std::size_t>(0) : std::nullopt;
+  auto framed = TakeBody(*head, aBuffer, bodyStart, aMaxBodyBytes, defaultLength);
+  if (!framed) {
+    return tl::unexpected(UserError{ "response body", "malformed, too large or without length" });
+  }
+  if (!*framed) {
+    return std::nullopt;
+  }
+  HttpResponseMessage message{ std::move(*head), std::move((*framed)->body_) };
+  aBuffer.erase(0, (*framed)->end_);
+  return message;
+}
+
+std::string
+FormatHttp(Poco::Net::HTTPRequest& aHead, std::string_view aBody)
+{
+  return Format(aHead, aBody);
+}
+
+std::string
+FormatHttp(Poco::Net::HTTPResponse& aHead, std::string_view aBody)
+{
+  return Format(aHead, aBody);
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/wire/HttpFraming.h
@@ -0,0 +1,47 @@
+/** \file
+ * Incremental reading of HTTP/1.1 messages from a byte stream. POCO parses the head; the body is
+ * complete only when all bytes that the head declares are there.
+ */
+#pragma once
+
+#include "model/Error.h"
+#include "wire/HttpMapping.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace fulmarway {
+
+/** A whole message. */
+template<typename Head>
+struct HttpMessage
+{
+  Head head_;
+  std::string body_;
+};
+
+using HttpRequestMessage = HttpMessage<Poco::Net::HTTPRequest>;
+using HttpResponseMessage = HttpMessage<Poco::Net::HTTPResponse>;
+
+/** Removes the first whole request from aBuffer; nullopt while bytes are missing. After an error
+ * the connection must be closed once the error was answered. */
+tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
+TakeHttpRequest(std::string& aBuffer, std::size_t aMaxBodyBytes);
+
+/** Removes the first whole response from aBuffer; nullopt while bytes are missing. A response
+ * without a declared length is an error, since its end cannot be told from a cut. */
+tl::expected<std::optional<HttpResponseMessage>, UserError>
+TakeHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes);
+
+/** Head and body as bytes; sets Content-Length. */
+std::string
+FormatHttp(Poco::Net::HTTPRequest& aHead, std::string_view aBody);
+
+std::string
+FormatHttp(Poco::Net::HTTPResponse& aHead, std::string_view aBody);
+
+} // namespace fulmarway
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -233,6 +233,12 @@
   aArchive(aValue.member_);
 }
 
+template<class Archive>
+void
+serialize(Archive&, UnreadableRecord&)
+{
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, OffsetRecord& aValue)
