Add routing and membership, first version

Cause: the reducer needs both modules; the headers had signatures only. Ruled out: sending cross-domain silence as suspect records. It would rewrite the records of a whole domain on both sides of every partition; each domain keeps its own view of which domains it reaches instead. Conclusion: the functions can be built on; tests and decisions follow.

--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
   /** Records piggybacked on one message. */
   std::uint32_t updatesPerMessage_ = 6;
   std::size_t maxMembers_ = 4096;
+  /** Length of a ticket epoch; records of others are passed on with their epoch brought up to date.
+   */
+  Duration epochLength_ = std::chrono::seconds(30);
 
   auto operator<=>(const MembershipSettings&) const = default;
 };
@@ -61,12 +65,96 @@
   bool operator==(const GossipOutput&) const = default;
 };
 
+/** A member as this node knows it. */
+struct MemberEntry
+{
+  /** The record that all nodes agree on. */
+  MemberRecord record_;
+  /** The record as this node uses it: corrected by its own life signs and by failure domains that
+   * it cannot reach. Never sent. */
+  MemberRecord view_;
+  /** When `record_` was last replaced. */
+  Instant changedAt_;
+  /** When the ticket epoch of `record_` was current. */
+  Instant epochAt_;
+  /** The state before the suspicion. */
+  MemberState unsuspected_ = MemberState::kAlive;
+  /** Set while this node waits for a refutation. */
+  std::optional<Instant> suspectedAt_;
+  /** A death that came without a suspicion before it is shown as suspicion until then. */
+  std::optional<Instant> shownSuspectUntil_;
+  /** Last message or data-path byte from the running incarnation. */
+  std::optional<Instant> heardAt_;
+  /** When the member was last sent its own record, so that it can refute it. */
+  std::optional<Instant> remindedAt_;
+
+  bool operator==(const MemberEntry&) const = default;
+};
+
+/** Whether a failure domain other than the own one can be reached. */
+struct DomainReach
+{
+  /** Last message or data-path byte from any of its members. */
+  Instant heardAt_;
+  /** kAlive, kSuspect or kDead, as a delegate of the own domain reported it. */
+  MemberState reported_ = MemberState::kAlive;
+
+  bool operator==(const DomainReach&) const = default;
+};
+
+/** A probe without an answer yet. */
+struct PendingProbe
+{
+  NodeId target_;
+  Instant sentAt_;
+  bool indirectSent_ = false;
+  /** For an indirect probe: who asked, with which number, and where to answer. */
+  NodeId onBehalfOf_;
+  std::uint64_t requestNumber_ = 0;
+  std::string requestAddress_;
+
+  bool operator==(const PendingProbe&) const = default;
+};
+
+/** A node that the log announced and that has not been heard of yet. */
+struct MemberHint
+{
+  std::string address_;
+  std::uint32_t probes_ = 0;
+
+  bool operator==(const MemberHint&) const = default;
+};
+
 struct MembershipState
 {
   MembershipSettings settings_;
   MemberRecord self_;
   /** Addresses that are probed while no member is known. */
   std::vector<std::string> seeds_;
+  std::map<NodeId, MemberEntry> members_;
+  /** Failure domains other than the own one. */
+  std::map<std::string, DomainReach> domains_;
+  /** Changed records and how often each is still to be sent. */
+  std::map<NodeId, std::uint32_t> updates_;
+  std::map<std::uint64_t, PendingProbe> probes_;
+  std::map<NodeId, MemberHint> hints_;
+  /** Members of the own domain that are still to be told which domains cannot be reached. */
+  std::vector<NodeId> reachNotices_;
+  std::uint64_t nextNumber_ = 1;
+  std::uint64_t random_ = 0;
+  Instant startedAt_;
+  Instant advancedAt_;
+  Instant nextProbeAt_;
+  Instant nextDigestAt_;
+  Instant nextDelegateDigestAt_;
+  Instant nextDeadProbeAt_;
+  std::optional<Instant> delegateSince_;
+  /** The own state is sent out again at this time, because the first messages may be lost. */
+  std::optional<Instant> repeatOwnStateAt_;
+  std::uint32_t ownStateRepeats_ = 0;
+  /** Bytes that may be spent on records and summaries now, and when they were counted. */
+  std::int64_t bulkBytes_ = 0;
+  Instant bulkBytesAt_;
 
   bool operator==(const MembershipState&) const = default;
 };
@@ -84,7 +172,8 @@
              std::uint64_t aEntropy,
              Instant aNow);
 
-/** A record from the log or a peer's configuration reply. */
+/** A record from the log. A node that no peer knows is probed first and becomes a member when it
+ * answers, because the log also holds nodes that are long gone. */
 Step<MembershipState, GossipOutput>
 LearnMember(MembershipState aState, const MemberRecord& aRecord, Instant aNow);
 
--- /dev/null
+++ b/packages/policy/OutlierEjection.cpp
@@ -0,0 +1,91 @@
+#include "policy/OutlierEjection.h"
+
+#include "policy/TargetObservations.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::uint32_t kFailuresToEject = 5;
+constexpr double kSlowFactor = 5;
+/** Targets in another failure domain are slower by the network; that is no fault of theirs. */
+constexpr double kSlowMargin = 10'000;
+constexpr std::uint32_t kSamplesToJudge = 5;
+/** Noisy neighbours slow a backend server down for about a second. */
+constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr std::uint32_t kMaxDoublings = 5;
+/** A target that did well for this long starts again with the first ejection time. */
+constexpr Duration kEjectionMemory = std::chrono::seconds(60);
+
+bool
+IsSlowOutlier(const RoutingState& aState,
+              const TargetObservations& aTarget,
+              std::span<const RouteCandidate> aServiceTargets,
+              Instant aNow)
+{
+  if (aTarget.samplesSinceReturn_ < kSamplesToJudge) {
+    return false;
+  }
+  const double median = MedianLatency(aState, aServiceTargets, aNow);
+  const double latency = LatencyNow(aTarget, aNow);
+  return median > 0 && latency > kSlowFactor * median && latency > median + kSlowMargin;
+}
+
+} // namespace
+
+double
+MedianLatency(const RoutingState& aState, std::span<const RouteCandidate> aTargets, Instant aNow)
+{
+  std::vector<double> known;
+  for (const RouteCandidate& candidate : aTargets) {
+    const auto found = aState.targets_.find(candidate.id_);
+    if (found != aState.targets_.end() && found->second.samples_ > 0) {
+      known.push_back(LatencyNow(found->second, aNow));
+    }
+  }
+  if (known.empty()) {
+    return 0;
+  }
+  const auto middle = known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
+void
+EjectIfOutlier(RoutingState& aState,
+               NodeId aTarget,
+               std::span<const RouteCandidate> aServiceTargets,
+               Instant aNow)
+{
+  const auto found = aState.targets_.find(aTarget);
+  if (found == aState.targets_.end() || IsEjected(aState, aTarget, aNow)) {
+    return;
+  }
+  TargetObservations& target = found->second;
+  const bool failing = target.consecutiveFailures_ >= kFailuresToEject;
+  if (!failing && !IsSlowOutlier(aState, target, aServiceTargets, aNow)) {
+    return;
+  }
+  const auto ejected = std::count_if(
+    aServiceTargets.begin(), aServiceTargets.end(), [&](const RouteCandidate& aCandidate) {
+      return IsEjected(aState, aCandidate.id_, aNow);
+    });
+  if (2 * (static_cast<std::size_t>(ejected) + 1) > aServiceTargets.size()) {
+    return;
+  }
+  if (aNow - target.ejectedUntil_ > kEjectionMemory) {
+    target.ejections_ = 0;
+  }
+  target.ejectedUntil_ = aNow + kFirstEjection * (1U << std::min(target.ejections_, kMaxDoublings));
+  ++target.ejections_;
+  // The target returns with a clean record; outcomes of attempts from before do not count.
+  target.slowStartFrom_ = target.ejectedUntil_;
+  target.latency_ = target.baseline_;
+  target.successShare_ = 1;
+  target.samplesSinceReturn_ = 0;
+  target.consecutiveFailures_ = 0;
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/Routing.cpp
@@ -0,0 +1,303 @@
+#include "policy/Routing.h"
+
+#include "policy/OutlierEjection.h"
+#include "policy/TargetObservations.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace fulmarway {
+
+namespace {
+
+/** Local targets are left when others are this many times faster. */
+constexpr double kSpillFactor = 4;
+/** One in this many refused requests is let through to learn of a changed level. */
+constexpr std::uint64_t kProbeOneIn = 50;
+constexpr double kDefaultLatency = 10'000;
+constexpr std::uint64_t kSamplesForHedge = 20;
+
+struct Scored
+{
+  const RouteCandidate* candidate_ = nullptr;
+  bool ejected_ = false;
+  bool saturated_ = false;
+  double expectedTime_ = 0;
+  double score_ = 0;
+  double drawWeight_ = 1;
+};
+
+using Pool = std::vector<Scored>;
+
+/** SplitMix64; turns the random bits of one event into several draws. */
+std::uint64_t
+NextRandom(std::uint64_t& aSeed)
+{
+  std::uint64_t mixed = (aSeed += 0x9E3779B97F4A7C15ULL);
+  mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
+  return mixed ^ (mixed >> 31);
+}
+
+double
+NextFraction(std::uint64_t& aSeed)
+{
+  return static_cast<double>(NextRandom(aSeed) >> 11) * 0x1.0p-53;
+}
+
+/** A target without a sample is assumed to be as fast as the best usually is. */
+double
+AssumedLatency(const RoutingState& aState, std::span<const RouteCandidate> aCandidates)
+{
+  double best = std::numeric_limits<double>::infinity();
+  for (const RouteCandidate& candidate : aCandidates) {
+    const auto found = aState.targets_.find(candidate.id_);
+    if (found != aState.targets_.end() && found->second.samples_ > 0) {
+      best = std::min(best, found->second.baseline_);
+    }
+  }
+  return best == std::numeric_limits<double>::infinity() ? kDefaultLatency : best;
+}
+
+Pool
+Score(const RoutingState& aState,
+      std::span<const RouteCandidate> aCandidates,
+      const RouteQuery& aQuery,
+      Instant aNow)
+{
+  const double assumed = AssumedLatency(aState, aCandidates);
+  TargetObservations unknown;
+  unknown.slowStartFrom_ = aNow;
+  Pool pool;
+  pool.reserve(aCandidates.size());
+  for (const RouteCandidate& candidate : aCandidates) {
+    const auto found = aState.targets_.find(candidate.id_);
+    const TargetObservations& target = found == aState.targets_.end() ? unknown : found->second;
+    Scored scored{ &candidate };
+    scored.ejected_ = aNow < target.ejectedUntil_;
+    scored.saturated_ = RefusesByLevel(target, aQuery.importance_, aQuery.clickBucket_, aNow);
+    scored.expectedTime_ = ExpectedTime(target, assumed, aNow);
+    scored.score_ = static_cast<double>(target.outstanding_.size() + 1) * scored.expectedTime_;
+    scored.drawWeight_ = SlowStartShare(target, aNow);
+    pool.push_back(scored);
+  }
+  return pool;
+}
+
+/** Members of a service may have gone since the ejections, so the bound is applied again. */
+void
+ReturnExcessEjections(const RoutingState& aState, Pool& aPool)
+{
+  std::vector<Scored*> ejected;
+  for (Scored& scored : aPool) {
+    if (scored.ejected_) {
+      ejected.push_back(&scored);
+    }
+  }
+  const std::size_t allowed = aPool.size() / 2;
+  std::sort(ejected.begin(), ejected.end(), [&](const Scored* aLeft, const Scored* aRight) {
+    return aState.targets_.at(aLeft->candidate_->id_).ejectedUntil_ >
+           aState.targets_.at(aRight->candidate_->id_).ejectedUntil_;
+  });
+  for (std::size_t i = allowed; i < ejected.size(); ++i) {
+    ejected[i]->ejected_ = false;
+  }
+}
+
+template<typename Predicate>
+Pool
+Filter(const Pool& aPool, Predicate aKeep)
+{
+  Pool kept;
+  std::copy_if(aPool.begin(), aPool.end(), std::back_inserter(kept), aKeep);
+  return kept;
+}
+
+/** The filtered pool, or the whole one when nothing is left. */
+template<typename Predicate>
+Pool
+Prefer(Pool aPool, Predicate aKeep)
+{
+  Pool kept = Filter(aPool, aKeep);
+  return kept.empty() ? std::move(aPool) : std::move(kept);
+}
+
+int
+Distance(const RouteCandidate& aCandidate)
+{
+  return aCandidate.sameDomain_ ? 0 : (aCandidate.sameRegion_ ? 1 : 2);
+}
+
+double
+BestExpectedTime(const Pool& aPool)
+{
+  double best = std::numeric_limits<double>::infinity();
+  for (const Scored& scored : aPool) {
+    best = std::min(best, scored.expectedTime_);
+  }
+  return best;
+}
+
+/** The nearest targets, and those farther away that are far faster than all nearer ones. */
+Pool
+NearestUseful(const Pool& aPool)
+{
+  Pool chosen;
+  for (int distance = 0; distance <= 2; ++distance) {
+    const Pool ring =
+      Filter(aPool, [&](const Scored& aS) { return Distance(*aS.candidate_) == distance; });
+    if (chosen.empty() || BestExpectedTime(chosen) > kSpillFactor * BestExpectedTime(ring)) {
+      chosen.insert(chosen.end(), ring.begin(), ring.end());
+    }
+  }
+  return chosen;
+}
+
+/** Draws an index with a probability in proportion to its weight, leaving out aExcluded. */
+std::size_t
+DrawIndex(const Pool& aPool, std::size_t aExcluded, std::uint64_t& aSeed)
+{
+  double total = 0;
+  for (std::size_t i = 0; i < aPool.size(); ++i) {
+    total += i == aExcluded ? 0 : aPool[i].drawWeight_;
+  }
+  double point = NextFraction(aSeed) * total;
+  std::size_t last = 0;
+  for (std::size_t i = 0; i < aPool.size(); ++i) {
+    if (i == aExcluded) {
+      continue;
+    }
+    last = i;
+    point -= aPool[i].drawWeight_;
+    if (point < 0) {
+      break;
+    }
+  }
+  return last;
+}
+
+NodeId
+BetterOfTwo(const Pool& aPool, std::uint64_t& aSeed)
+{
+  const std::size_t first = DrawIndex(aPool, aPool.size(), aSeed);
+  if (aPool.size() == 1) {
+    return aPool[first].candidate_->id_;
+  }
+  const std::size_t second = DrawIndex(aPool, first, aSeed);
+  const std::size_t better = aPool[second].score_ < aPool[first].score_ ? second : first;
+  return aPool[better].candidate_->id_;
+}
+
+TargetObservations&
+ObservationsOf(RoutingState& aState, NodeId aTarget, Instant aNow)
+{
+  const auto [found, inserted] = aState.targets_.try_emplace(aTarget);
+  if (inserted) {
+    found->second.slowStartFrom_ = aNow;
+  }
+  return found->second;
+}
+
+/** Removes the start time that fits the latency best; attempts carry no id here. */
+void
+RemoveOutstanding(TargetObservations& aTarget, Instant aStartedAt)
+{
+  std::vector<Instant>& starts = aTarget.outstanding_;
+  if (starts.empty()) {
+    return;
+  }
+  auto closest = std::lower_bound(starts.begin(), starts.end(), aStartedAt);
+  if (closest == starts.end() ||
+      (closest != starts.begin() && aStartedAt - *std::prev(closest) < *closest - aStartedAt)) {
+    --closest;
+  }
+  starts.erase(closest);
+}
+
+} // namespace
+
+RouteDecision
+ChooseTarget(const RoutingState& aState,
+             std::span<const RouteCandidate> aCandidates,
+             const RouteQuery& aQuery,
+             Instant aNow)
+{
+  if (aCandidates.empty()) {
+    return { RouteVerdict::kNoBackendServer, {} };
+  }
+  std::uint64_t seed = aQuery.entropy_;
+  Pool pool = Score(aState, aCandidates, aQuery, aNow);
+  ReturnExcessEjections(aState, pool);
+  pool = Prefer(std::move(pool), [](const Scored& aS) { return !aS.candidate_->suspect_; });
+  pool = Prefer(std::move(pool), [](const Scored& aS) { return !aS.ejected_; });
+  const bool refused =
+    std::all_of(pool.begin(), pool.end(), [](const Scored& aS) { return aS.saturated_; });
+  if (refused && NextRandom(seed) % kProbeOneIn != 0) {
+    return { RouteVerdict::kShedByLevel, {} };
+  }
+  pool = Prefer(std::move(pool), [](const Scored& aS) { return !aS.saturated_; });
+  pool = Prefer(std::move(pool), [&](const Scored& aS) {
+    return std::find(aQuery.tried_.begin(), aQuery.tried_.end(), aS.candidate_->id_) ==
+           aQuery.tried_.end();
+  });
+  return { RouteVerdict::kChosen, BetterOfTwo(NearestUseful(pool), seed) };
+}
+
+RoutingState
+NoteAttemptStart(RoutingState aState, NodeId aTarget, Instant aNow)
+{
+  ObservationsOf(aState, aTarget, aNow).outstanding_.push_back(aNow);
+  return aState;
+}
+
+RoutingState
+NoteAttemptEnd(RoutingState aState,
+               const AttemptReport& aReport,
+               std::span<const RouteCandidate> aServiceTargets,
+               Instant aNow)
+{
+  const auto found = aState.targets_.find(aReport.target_);
+  if (found == aState.targets_.end()) {
+    return aState;
+  }
+  RemoveOutstanding(found->second, aNow - aReport.latency_);
+  Observe(found->second, aReport, MedianLatency(aState, aServiceTargets, aNow), aNow);
+  EjectIfOutlier(aState, aReport.target_, aServiceTargets, aNow);
+  return aState;
+}
+
+RoutingState
+ForgetTarget(RoutingState aState, NodeId aTarget)
+{
+  aState.targets_.erase(aTarget);
+  return aState;
+}
+
+std::optional<Duration>
+HedgeDelay(const RoutingState& aState, NodeId aTarget)
+{
+  const auto found = aState.targets_.find(aTarget);
+  if (found == aState.targets_.end() || found->second.samples_ < kSamplesForHedge) {
+    return std::nullopt;
+  }
+  return Duration{ static_cast<Duration::rep>(found->second.tail_) };
+}
+
+bool
+IsEjected(const RoutingState& aState, NodeId aTarget, Instant aNow)
+{
+  const auto found = aState.targets_.find(aTarget);
+  return found != aState.targets_.end() && aNow < found->second.ejectedUntil_;
+}
+
+std::uint32_t
+OutstandingAttempts(const RoutingState& aState, NodeId aTarget)
+{
+  const auto found = aState.targets_.find(aTarget);
+  return found == aState.targets_.end()
+           ? 0
+           : static_cast<std::uint32_t>(found->second.outstanding_.size());
+}
+
+} // namespace fulmarway
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -73,16 +73,55 @@
 {
   NodeId target_;
   AttemptOutcome outcome_ = AttemptOutcome::kSucceeded;
+  /** Time since NoteAttemptStart(), for every outcome. */
   Duration latency_{ 0 };
   /** From the target's answer, when there was one. */
   std::optional<LoadReport> load_;
+  /** AdmissionRank() of the request. With it, level reports that outcomes contradict are ignored.
+   */
+  std::optional<std::uint16_t> rank_;
 
   bool operator==(const AttemptReport&) const = default;
 };
 
+/** What this node has observed of one target. */
+struct TargetObservations
+{
+  /** Start times of the attempts that have not ended, oldest first. */
+  std::vector<Instant> outstanding_;
+  /** Latency estimate that rises fast and falls slowly, microseconds; 0 without a sample. */
+  double latency_ = 0;
+  /** Long-run mean of the same samples, microseconds. */
+  double baseline_ = 0;
+  /** Estimate of the 95th percentile, microseconds. */
+  double tail_ = 0;
+  std::uint64_t samples_ = 0;
+  /** Samples since the target was first seen or returned from ejection. */
+  std::uint32_t samplesSinceReturn_ = 0;
+  Instant lastSampleAt_;
+  /** Share of attempts that succeeded, [0, 1]. */
+  double successShare_ = 1;
+  Instant lastOutcomeAt_;
+  std::uint32_t consecutiveFailures_ = 0;
+  /** Start of the slow start. */
+  Instant slowStartFrom_;
+  Instant ejectedUntil_;
+  /** Ejections in a row; each doubles the time of the next. */
+  std::uint32_t ejections_ = 0;
+  std::optional<AdmissionLevel> level_;
+  Instant levelAt_;
+  /** Requests in a row that succeeded although a report from before their start refused them. */
+  std::uint32_t contradictions_ = 0;
+  Instant distrustLevelUntil_;
+
+  bool operator==(const TargetObservations&) const = default;
+};
+
 /** Observations for each target; a target that membership forgets is dropped by ForgetTarget(). */
 struct RoutingState
 {
+  std::map<NodeId, TargetObservations> targets_;
+
   bool operator==(const RoutingState&) const = default;
 };
 
@@ -110,6 +149,10 @@
 std::optional<Duration>
 HedgeDelay(const RoutingState& aState, NodeId aTarget);
 
+/** Whether the target is ejected now. */
+bool
+IsEjected(const RoutingState& aState, NodeId aTarget, Instant aNow);
+
 /** Attempts to the target that have not ended. */
 std::uint32_t
 OutstandingAttempts(const RoutingState& aState, NodeId aTarget);
--- /dev/null
+++ b/packages/policy/TargetObservations.cpp
@@ -0,0 +1,167 @@
+#include "policy/TargetObservations.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmarway {
+
+namespace {
+
+/** Three slow samples in a row move the estimate two thirds of the way. */
+constexpr double kRiseGain = 0.3;
+/** A sample counts as at most this multiple of the estimate. 2% of the requests may run 100 times
+ * longer than the rest; a single one of them must not look like a slow target. */
+constexpr double kMaxRise = 4;
+constexpr double kMinFallGain = 0.1;
+constexpr Duration kFallTime = std::chrono::seconds(1);
+constexpr double kBaselineGain = 0.01;
+/** Without samples the estimate returns to the long-run mean, so that the target is tried again. */
+constexpr Duration kReturnTime = std::chrono::seconds(2);
+constexpr double kSuccessGain = 0.1;
+constexpr double kMinSuccessShare = 0.05;
+constexpr double kSlowStartFloor = 0.1;
+/** Steps of the 95th percentile: one step up for each sample above balances 19 steps down. */
+constexpr double kTailUp = 1.1;
+const double kTailDown = std::pow(kTailUp, -1.0 / 19);
+constexpr std::uint32_t kContradictionsToDistrust = 3;
+constexpr Duration kDistrustTime = std::chrono::seconds(10);
+
+double
+Decay(Duration aElapsed, Duration aTimeConstant)
+{
+  return std::exp(-static_cast<double>(std::max(aElapsed, Duration{ 0 }).count()) /
+                  static_cast<double>(aTimeConstant.count()));
+}
+
+void
+AddSample(TargetObservations& aTarget, double aSample, double aTypicalLatency, Instant aNow)
+{
+  const double reference = aTarget.samples_ > 0 ? aTarget.latency_ : aTypicalLatency;
+  const double sample =
+    std::max(1.0, reference > 0 ? std::min(aSample, kMaxRise * reference) : aSample);
+  if (aTarget.samples_ == 0) {
+    aTarget.latency_ = sample;
+    aTarget.baseline_ = sample;
+    aTarget.tail_ = 2 * sample;
+  } else {
+    const double fall = std::max(kMinFallGain, 1 - Decay(aNow - aTarget.lastSampleAt_, kFallTime));
+    const double gain = sample > aTarget.latency_ ? kRiseGain : fall;
+    aTarget.latency_ += gain * (sample - aTarget.latency_);
+    const double baselineGain =
+      std::max(kBaselineGain, 1.0 / static_cast<double>(aTarget.samples_ + 1));
+    aTarget.baseline_ += baselineGain * (sample - aTarget.baseline_);
+    aTarget.tail_ *= aSample > aTarget.tail_ ? kTailUp : kTailDown;
+  }
+  ++aTarget.samples_;
+  ++aTarget.samplesSinceReturn_;
+  aTarget.lastSampleAt_ = aNow;
+}
+
+void
+ObserveLevel(TargetObservations& aTarget, const AttemptReport& aReport, Instant aNow)
+{
+  if (aReport.outcome_ == AttemptOutcome::kRefused) {
+    aTarget.contradictions_ = 0;
+    aTarget.distrustLevelUntil_ = Instant{};
+  }
+  const bool contradicted = aReport.outcome_ == AttemptOutcome::kSucceeded && aReport.rank_ &&
+                            aTarget.level_ && *aReport.rank_ >= aTarget.level_->admitBelow_ &&
+                            *aReport.rank_ >= kLowestAdmissionLevel.admitBelow_ &&
+                            aTarget.levelAt_ <= aNow - aReport.latency_;
+  if (contradicted && ++aTarget.contradictions_ >= kContradictionsToDistrust) {
+    aTarget.distrustLevelUntil_ = aNow + kDistrustTime;
+  }
+  if (!aReport.load_) {
+    return;
+  }
+  // Keeps the time of an unchanged report that is being contradicted, because each answer renews
+  // the report and no request would start after it.
+  if (aTarget.level_ != aReport.load_->level_ || aNow - aTarget.levelAt_ > kLevelLifetime / 2) {
+    aTarget.levelAt_ = aNow;
+  }
+  aTarget.level_ = aReport.load_->level_;
+}
+
+} // namespace
+
+void
+Observe(TargetObservations& aTarget,
+        const AttemptReport& aReport,
+        double aTypicalLatency,
+        Instant aNow)
+{
+  ObserveLevel(aTarget, aReport, aNow);
+  const bool duringEjection =
+    aTarget.ejections_ > 0 && aNow - aReport.latency_ < aTarget.ejectedUntil_;
+  const auto sample = static_cast<double>(aReport.latency_.count());
+  // An attempt that failed or was given up took at least this long.
+  const bool lowerBound =
+    aReport.outcome_ == AttemptOutcome::kFailed || aReport.outcome_ == AttemptOutcome::kCancelled;
+  const bool counts = aReport.outcome_ == AttemptOutcome::kSucceeded ||
+                      (lowerBound && aTarget.samples_ > 0 && sample > aTarget.latency_);
+  if (counts && !duringEjection) {
+    AddSample(aTarget, sample, aTypicalLatency, aNow);
+  }
+  if (aReport.outcome_ == AttemptOutcome::kCancelled) {
+    return;
+  }
+  const double succeeded = aReport.outcome_ == AttemptOutcome::kSucceeded ? 1 : 0;
+  aTarget.successShare_ += kSuccessGain * (succeeded - aTarget.successShare_);
+  aTarget.lastOutcomeAt_ = aNow;
+  if (aReport.outcome_ == AttemptOutcome::kFailed) {
+    ++aTarget.consecutiveFailures_;
+  } else if (aReport.outcome_ == AttemptOutcome::kSucceeded) {
+    aTarget.consecutiveFailures_ = 0;
+  }
+}
+
+double
+LatencyNow(const TargetObservations& aTarget, Instant aNow)
+{
+  const double decay = Decay(aNow - aTarget.lastSampleAt_, kReturnTime);
+  return aTarget.baseline_ + (aTarget.latency_ - aTarget.baseline_) * decay;
+}
+
+Duration
+SilentFor(const TargetObservations& aTarget, Instant aNow)
+{
+  if (aTarget.outstanding_.empty()) {
+    return Duration{ 0 };
+  }
+  // A long request among short ones that are answered does not make the target silent.
+  const Instant since = aTarget.samples_ > 0
+                          ? std::max(aTarget.outstanding_.front(), aTarget.lastSampleAt_)
+                          : aTarget.outstanding_.front();
+  return std::max(aNow - since, Duration{ 0 });
+}
+
+double
+ExpectedTime(const TargetObservations& aTarget, double aUnknownLatency, Instant aNow)
+{
+  const double latency = aTarget.samples_ > 0 ? LatencyNow(aTarget, aNow) : aUnknownLatency;
+  const double silent = static_cast<double>(SilentFor(aTarget, aNow).count());
+  const double failureShare =
+    (1 - aTarget.successShare_) * Decay(aNow - aTarget.lastOutcomeAt_, kReturnTime);
+  return std::max({ latency, silent, 1.0 }) / std::max(kMinSuccessShare, 1 - failureShare);
+}
+
+bool
+RefusesByLevel(const TargetObservations& aTarget,
+               Importance aImportance,
+               std::uint8_t aClickBucket,
+               Instant aNow)
+{
+  return aTarget.level_ && aNow - aTarget.levelAt_ <= kLevelLifetime &&
+         aNow >= aTarget.distrustLevelUntil_ &&
+         !IsAdmitted(*aTarget.level_, aImportance, aClickBucket);
+}
+
+double
+SlowStartShare(const TargetObservations& aTarget, Instant aNow)
+{
+  const double progress = static_cast<double>((aNow - aTarget.slowStartFrom_).count()) /
+                          static_cast<double>(kSlowStart.count());
+  return std::clamp(progress, kSlowStartFloor, 1.0);
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/tests/MemberNetwork.h
@@ -0,0 +1,301 @@
+/** \file
+ * Exchanges datagrams between membership states in virtual time, with loss, duplication,
+ * reordering, pauses, restarts and partitions.
+ */
+#pragma once
+
+#include "policy/GossipQueue.h"
+#include "policy/Membership.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarway::tests {
+
+struct NetworkFaults
+{
+  int lossPercent_ = 0;
+  int duplicatePercent_ = 0;
+  /** One-way delay is 1 ms up to this, so that datagrams overtake each other. */
+  int maxDelayMs_ = 1;
+};
+
+struct SimulatedNode
+{
+  NodeIdentity identity_;
+  MembershipState state_;
+  bool running_ = true;
+  bool paused_ = false;
+  int group_ = 0;
+  std::uint64_t bytesSent_ = 0;
+  std::uint64_t bytesReceived_ = 0;
+  /** State of each member and when it was first seen in it; filled from the reported changes. */
+  std::map<NodeId, std::map<MemberState, Instant>> firstSeen_;
+  /** Members as the changes describe them. */
+  std::map<NodeId, MemberRecord> fromChanges_;
+};
+
+class MemberNetwork
+{
+public:
+  explicit MemberNetwork(std::uint64_t aSeed, NetworkFaults aFaults = {})
+    : random_(aSeed)
+    , faults_(aFaults)
+  {
+  }
+
+  /** Adds nodes in the domains in turn, each with the first node of the other domains as seeds. */
+  void AddNodes(int aCount, int aDomains)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      const int domain = i % aDomains;
+      std::vector<std::string> seeds;
+      for (int seed = 0; seed < std::min(aDomains, aCount); ++seed) {
+        seeds.push_back(AddressOf(seed));
+      }
+      AddNode(i, "domain-" + std::to_string(domain), std::move(seeds));
+    }
+  }
+
+  void AddNode(int aIndex, const std::string& aDomain, std::vector<std::string> aSeeds)
+  {
+    SimulatedNode node;
+    const std::string address = AddressOf(aIndex);
+    node.identity_ = { NodeIdOf(address), 1'000'000,    NewIncarnation(), address,
+                       address,           "enrolments", aDomain,          "region-" + aDomain };
+    node.state_ = MakeMembership({}, node.identity_, std::move(aSeeds), now_);
+    nodes_[node.identity_.id_] = std::move(node);
+    const NodeId id = NodeIdOf(address);
+    order_.push_back(id);
+    Apply(id, SetOwnState(Take(id), MemberState::kAlive, {}, Random(), now_));
+    ScheduleTick(id, Random() % 100'000);
+  }
+
+  /** The process ends and a new one with the same address starts. */
+  void Restart(NodeId aId, std::uint64_t aGeneration)
+  {
+    SimulatedNode& node = nodes_.at(aId);
+    node.identity_.generation_ = aGeneration;
+    node.identity_.incarnation_ = NewIncarnation();
+    node.state_ = MakeMembership({}, node.identity_, node.state_.seeds_, now_);
+    node.fromChanges_.clear();
+    Apply(aId, SetOwnState(Take(aId), MemberState::kAlive, {}, Random(), now_));
+    if (!std::exchange(node.running_, true)) {
+      ScheduleTick(aId, 0);
+    }
+  }
+
+  void Stop(NodeId aId) { nodes_.at(aId).running_ = false; }
+
+  void SetState(NodeId aId, MemberState aState, NodeId aSuccessor = {})
+  {
+    Apply(aId, SetOwnState(Take(aId), aState, aSuccessor, Random(), now_));
+  }
+
+  void Pause(NodeId aId) { nodes_.at(aId).paused_ = true; }
+
+  void Resume(NodeId aId)
+  {
+    nodes_.at(aId).paused_ = false;
+    for (GossipMessage& message : held_[aId]) {
+      events_.emplace(now_, Delivery{ aId, std::move(message) });
+    }
+    held_.erase(aId);
+    ScheduleTick(aId, 0);
+  }
+
+  /** Nodes in different groups cannot exchange datagrams. */
+  void Partition(const std::function<int(const SimulatedNode&)>& aGroup)
+  {
+    for (auto& [id, node] : nodes_) {
+      node.group_ = aGroup(node);
+    }
+  }
+
+  void Heal()
+  {
+    Partition([](const SimulatedNode&) { return 0; });
+  }
+
+  void Run(Duration aDuration)
+  {
+    const Instant end = now_ + aDuration;
+    while (!events_.empty() && events_.begin()->first <= end) {
+      const auto first = events_.extract(events_.begin());
+      now_ = first.key();
+      Handle(first.mapped());
+    }
+    now_ = end;
+  }
+
+  /** Runs until the predicate holds; nullopt when it does not within the limit. */
+  std::optional<Duration> RunUntil(Duration aLimit, const std::function<bool()>& aDone)
+  {
+    const Instant start = now_;
+    while (!aDone()) {
+      if (now_ - start >= aLimit) {
+        return std::nullopt;
+      }
+      Run(std::chrono::milliseconds(100));
+    }
+    return now_ - start;
+  }
+
+  /** Whether every running node sees exactly the running ones, itself included, as alive. */
+  bool Converged() const
+  {
+    std::set<NodeId> expected;
+    for (const auto& [id, node] : nodes_) {
+      if (node.running_) {
+        expected.insert(id);
+      }
+    }
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& aNode) {
+      return !aNode.second.running_ || AliveSeenBy(aNode.first) == expected;
+    });
+  }
+
+  std::set<NodeId> AliveSeenBy(NodeId aId) const
+  {
+    std::set<NodeId> alive{ aId };
+    for (const MemberRecord& record : Members(nodes_.at(aId).state_)) {
+      if (record.state_ == MemberState::kAlive) {
+        alive.insert(record.identity_.id_);
+      }
+    }
+    return alive;
+  }
+
+  /** How many other running nodes see the member in this state. */
+  int CountSeeing(NodeId aMember, MemberState aState, const std::string& aDomain = "") const
+  {
+    int count = 0;
+    for (const auto& [id, node] : nodes_) {
+      const MemberRecord* record = FindMember(node.state_, aMember);
+      count += node.running_ && id != aMember && record != nullptr && record->state_ == aState &&
+               (aDomain.empty() || node.identity_.domain_ == aDomain);
+    }
+    return count;
+  }
+
+  int RunningOthers(NodeId aMember, const std::string& aDomain = "") const
+  {
+    int count = 0;
+    for (const auto& [id, node] : nodes_) {
+      count +=
+        node.running_ && id != aMember && (aDomain.empty() || node.identity_.domain_ == aDomain);
+    }
+    return count;
+  }
+
+  void Apply(NodeId aId, Step<MembershipState, GossipOutput> aStep)
+  {
+    SimulatedNode& node = nodes_.at(aId);
+    node.state_ = std::move(aStep.state_);
+    for (const MemberChange& change : aStep.result_.changes_) {
+      const NodeId member = change.after_.identity_.id_;
+      node.firstSeen_[member].try_emplace(change.after_.state_, now_);
+      node.fromChanges_[member] = change.after_;
+    }
+    for (OutgoingGossip& outgoing : aStep.result_.messages_) {
+      Post(node, std::move(outgoing));
+    }
+  }
+
+  MembershipState Take(NodeId aId) { return std::move(nodes_.at(aId).state_); }
+
+  std::uint64_t Random()
+  {
+    random_ ^= random_ << 13;
+    random_ ^= random_ >> 7;
+    random_ ^= random_ << 17;
+    return random_;
+  }
+
+  static std::string AddressOf(int aIndex)
+  {
+    return "10." + std::to_string(aIndex / 250) + ".0." + std::to_string(aIndex % 250 + 1) +
+           ":7000";
+  }
+
+  const SimulatedNode& At(NodeId aId) const { return nodes_.at(aId); }
+  NodeId IdAt(std::size_t aIndex) const { return order_.at(aIndex); }
+  std::map<NodeId, SimulatedNode>& Nodes() { return nodes_; }
+  Instant Now() const { return now_; }
+  std::size_t LargestDatagram() const { return largestDatagram_; }
+  void SetFaults(NetworkFaults aFaults) { faults_ = aFaults; }
+
+private:
+  struct Delivery
+  {
+    NodeId to_;
+    /** A tick when empty. */
+    std::optional<GossipMessage> message_;
+  };
+
+  Incarnation NewIncarnation() { return { Random(), Random() }; }
+
+  void ScheduleTick(NodeId aId, std::uint64_t aMicroseconds)
+  {
+    events_.emplace(now_ + Duration{ aMicroseconds }, Delivery{ aId, {} });
+  }
+
+  void Post(SimulatedNode& aFrom, OutgoingGossip aOutgoing)
+  {
+    constexpr std::size_t kIpAndUdpHeader = 28;
+    const std::size_t payload = EstimateBytes(aOutgoing.message_);
+    largestDatagram_ = std::max(largestDatagram_, payload);
+    aFrom.bytesSent_ += payload + kIpAndUdpHeader;
+    const NodeId to = NodeIdOf(aOutgoing.address_);
+    const auto receiver = nodes_.find(to);
+    if (receiver == nodes_.end() || receiver->second.group_ != aFrom.group_) {
+      return;
+    }
+    const int copies = 1 + Chance(faults_.duplicatePercent_);
+    for (int i = 0; i < copies; ++i) {
+      if (!Chance(faults_.lossPercent_)) {
+        const Duration delay{ 1000 + Random() % (1000 * faults_.maxDelayMs_) };
+        events_.emplace(now_ + delay, Delivery{ to, aOutgoing.message_ });
+        receiver->second.bytesReceived_ += payload + kIpAndUdpHeader;
+      }
+    }
+  }
+
+  bool Chance(int aPercent) { return static_cast<int>(Random() % 100) < aPercent; }
+
+  void Handle(Delivery& aDelivery)
+  {
+    SimulatedNode& node = nodes_.at(aDelivery.to_);
+    if (!node.running_) {
+      return;
+    }
+    if (node.paused_) {
+      if (aDelivery.message_) {
+        held_[aDelivery.to_].push_back(std::move(*aDelivery.message_));
+      }
+      return;
+    }
+    if (aDelivery.message_) {
+      Apply(aDelivery.to_, HandleGossip(Take(aDelivery.to_), *aDelivery.message_, Random(), now_));
+    } else {
+      Apply(aDelivery.to_, AdvanceMembership(Take(aDelivery.to_), Random(), now_));
+      ScheduleTick(aDelivery.to_, 100'000);
+    }
+  }
+
+  std::uint64_t random_;
+  NetworkFaults faults_;
+  Instant now_{ std::chrono::hours(1) };
+  std::map<NodeId, SimulatedNode> nodes_;
+  std::vector<NodeId> order_;
+  std::multimap<Instant, Delivery> events_;
+  std::map<NodeId, std::vector<GossipMessage>> held_;
+  std::size_t largestDatagram_ = 0;
+};
+
+} // namespace fulmarway::tests
