Add the documents of the admin interface and their JSON form

Cause: the node's admin interface and the operator's client are written at the same time and must agree on one typed form.

Unknown members are ignored; a missing member, a wrong type or a number out of range is an error that names its path.

Ruled out: cereal's JSON archive, because Debian ships cereal without its copy of rapidjson; POCO is a dependency already.

--- /dev/null
+++ b/packages/wire/tests/ControlJsonTest.cpp
@@ -0,0 +1,253 @@
+/** \file
+ * Guards against documents of the admin interface that a client reads differently from what the
+ * node wrote, and against text that stops a node or a client.
+ */
+#include "wire/ControlJson.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace fulmarway;
+
+namespace {
+
+// Any bytes without the high bit, including control characters, quotes and NUL.
+rc::Gen<std::string>
+Ascii()
+{
+  return rc::gen::container<std::string>(
+    rc::gen::map(rc::gen::inRange(0, 128), [](int aByte) { return static_cast<char>(aByte); }));
+}
+
+template<typename T>
+T
+Number()
+{
+  return *rc::gen::arbitrary<T>();
+}
+
+template<typename E>
+E
+Value(int aCount)
+{
+  return static_cast<E>(*rc::gen::inRange(0, aCount));
+}
+
+template<typename T, typename Make>
+std::vector<T>
+Several(Make aMake)
+{
+  std::vector<T> values(*rc::gen::inRange(0, 4));
+  for (T& value : values) {
+    value = aMake();
+  }
+  return values;
+}
+
+ServiceSpec
+AnyService()
+{
+  ServiceSpec service{ *Ascii(),
+                       Number<std::uint32_t>(),
+                       Number<std::uint32_t>(),
+                       Number<std::uint32_t>(),
+                       Number<std::uint32_t>(),
+                       {} };
+  for (const std::string& name : Several<std::string>([] { return *Ascii(); })) {
+    service.kinds_[name] = KindSpec{ name,
+                                     Value<Importance>(4),
+                                     Number<bool>(),
+                                     Number<std::uint32_t>(),
+                                     std::chrono::milliseconds(Number<std::uint32_t>()),
+                                     Number<bool>() };
+  }
+  return service;
+}
+
+AuditLine
+AnyAuditLine()
+{
+  return { Number<std::uint64_t>(),
+           { Number<std::uint64_t>() },
+           *Ascii(),
+           *Ascii(),
+           Value<CommandOutcome>(3),
+           Number<std::uint64_t>(),
+           Number<std::uint64_t>(),
+           *Ascii() };
+}
+
+template<typename Doc, typename Parse>
+void
+ExpectRoundTrip(const Doc& aDoc, Parse aParse)
+{
+  const auto parsed = aParse(ToJson(aDoc));
+  RC_ASSERT(parsed.has_value());
+  RC_ASSERT(*parsed == aDoc);
+}
+
+} // namespace
+
+Test(control_json, commands_round_trip)
+{
+  cr_assert(rc::check("CommandRequest and CommandReply", [] {
+    ExpectRoundTrip(
+      CommandRequest{ { Number<std::uint64_t>() }, *Ascii(), Number<std::uint64_t>(), *Ascii() },
+      ParseCommandRequest);
+    ExpectRoundTrip(CommandReply{ Value<ReplyOutcome>(kReplyOutcomeCount),
+                                  Number<std::uint64_t>(),
+                                  Number<std::uint64_t>(),
+                                  *Ascii() },
+                    ParseCommandReply);
+    ExpectRoundTrip(ErrorDocument{ *Ascii() }, ParseErrorDocument);
+  }));
+}
+
+Test(control_json, configuration_documents_round_trip)
+{
+  cr_assert(rc::check("services, members, config, audit, inforce", [] {
+    ExpectRoundTrip(ServicesDocument{ Number<std::uint64_t>(), Several<ServiceSpec>(AnyService) },
+                    ParseServicesDocument);
+    ExpectRoundTrip(MembersDocument{ Several<MemberView>([] {
+                      return MemberView{ { Number<std::uint64_t>() },
+                                         *Ascii(),
+                                         *Ascii(),
+                                         *Ascii(),
+                                         *Ascii(),
+                                         Value<MemberState>(6),
+                                         Number<std::uint64_t>() };
+                    }) },
+                    ParseMembersDocument);
+    ExpectRoundTrip(ConfigDocument{ Number<std::uint64_t>(),
+                                    Number<std::uint64_t>(),
+                                    Number<bool>(),
+                                    Several<std::string>([] { return *Ascii(); }) },
+                    ParseConfigDocument);
+    ExpectRoundTrip(AuditDocument{ Several<AuditLine>(AnyAuditLine) }, ParseAuditDocument);
+    ExpectRoundTrip(InForceDocument{ Number<std::uint64_t>(), Several<DomainInForce>([] {
+                                       return DomainInForce{ *Ascii(),
+                                                             Number<std::uint32_t>(),
+                                                             Number<std::uint32_t>(),
+                                                             Number<bool>() };
+                                     }) },
+                    ParseInForceDocument);
+  }));
+}
+
+Test(control_json, load_documents_round_trip)
+{
+  cr_assert(rc::check("shed, load, why", [] {
+    ExpectRoundTrip(
+      ShedDocument{ { Number<std::uint16_t>() }, Number<std::uint32_t>(), Several<ShedCount>([] {
+                      return ShedCount{ *Ascii(),
+                                        *Ascii(),
+                                        Value<Importance>(4),
+                                        Value<Reason>(kReasonCount),
+                                        Number<std::uint64_t>() };
+                    }) },
+      ParseShedDocument);
+    ExpectRoundTrip(LoadDocument{ Number<std::uint32_t>(),
+                                  Number<std::uint32_t>(),
+                                  Number<std::uint32_t>(),
+                                  { Number<std::uint16_t>() },
+                                  Number<std::uint32_t>(),
+                                  Number<std::uint32_t>() },
+                    ParseLoadDocument);
+    ExpectRoundTrip(WhyDocument{ *Ascii(), Several<ClickDecision>([] {
+                                  return ClickDecision{ Number<std::uint64_t>(),
+                                                        *Ascii(),
+                                                        *Ascii(),
+                                                        Value<Verdict>(3),
+                                                        Value<Reason>(kReasonCount),
+                                                        *Ascii() };
+                                }) },
+                    ParseWhyDocument);
+  }));
+}
+
+Test(control_json, form_is_stable)
+{
+  cr_assert_eq(ToJson(CommandRequest{ { 0xab }, "ann", 3, "drain 10.0.0.1:7000" }),
+               R"({"commandId":"00000000000000ab","operator":"ann","baseVersion":3,)"
+               R"("text":"drain 10.0.0.1:7000"})");
+  cr_assert_eq(ToJson(CommandReply{ ReplyOutcome::kConflict, 4, 17, "kind a/b changed" }),
+               R"({"outcome":"conflict","version":4,"offset":17,"detail":"kind a/b changed"})");
+  cr_assert_eq(ToJson(InForceDocument{ 4, { { "colombo-a", 3, 3, true } } }),
+               R"({"version":4,"domains":[{"domain":"colombo-a","members":3,"inForce":3,)"
+               R"("reachable":true}]})");
+}
+
+Test(control_json, faults_are_named_by_path)
+{
+  struct Case
+  {
+    const char* json_;
+    const char* subject_;
+  };
+  const Case cases[] = {
+    { "", "document" },
+    { "[]", "document" },
+    { "{", "document" },
+    { "{}", "version" },
+    { R"({"version":-1,"domains":[]})", "version" },
+    { R"({"version":1.5,"domains":[]})", "version" },
+    { R"({"version":"1","domains":[]})", "version" },
+    { R"({"version":true,"domains":[]})", "version" },
+    { R"({"version":18446744073709551616,"domains":[]})", "document" },
+    { R"({"version":1,"domains":{}})", "domains" },
+    { R"({"version":1,"domains":[7]})", "domains[0]" },
+    { R"({"version":1,"domains":[{"domain":"a","members":4294967296}]})", "domains[0].members" },
+    { R"({"version":1,"domains":[{"domain":"a","members":1,"inForce":1,"reachable":1}]})",
+      "domains[0].reachable" },
+    { R"({"version":1,"domains":[{"domain":"a","members":1,"inForce":1,"reachable":true},{}]})",
+      "domains[1].domain" },
+  };
+  for (const Case& test : cases) {
+    const auto parsed = ParseInForceDocument(test.json_);
+    cr_assert_not(parsed.has_value(), "accepted %s", test.json_);
+    cr_assert_eq(parsed.error().subject_,
+                 test.subject_,
+                 "%s: %s: %s",
+                 test.json_,
+                 parsed.error().subject_.c_str(),
+                 parsed.error().message_.c_str());
+  }
+}
+
+Test(control_json, unknown_members_are_ignored)
+{
+  const auto parsed = ParseErrorDocument(R"({"error":"e","added":{"later":[1]}})");
+  cr_assert(parsed.has_value());
+  cr_assert_eq(parsed->error_, "e");
+}
+
+Test(control_json, deep_nesting_is_refused)
+{
+  cr_assert_not(ParseErrorDocument(std::string(100000, '[')).has_value());
+  std::string objects;
+  for (int i = 0; i < 100000; ++i) {
+    objects += R"({"a":)";
+  }
+  cr_assert_not(ParseErrorDocument(objects).has_value());
+}
+
+Test(control_json, arbitrary_bytes_never_crash)
+{
+  cr_assert(rc::check("parsers are total", [](const std::string& aText) {
+    (void)ParseCommandRequest(aText);
+    (void)ParseServicesDocument(aText);
+  }));
+  cr_assert(rc::check("cut and changed documents", [] {
+    std::string text = ToJson(AuditDocument{ { AnyAuditLine() } });
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    if (Number<bool>()) {
+      text.resize(at);
+    } else {
+      text[at] = Number<char>();
+    }
+    (void)ParseAuditDocument(text);
+  }));
+  // Bytes that are not UTF-8 may come from an operator's command line.
+  cr_assert(rc::check("writer is total",
+                      [](const std::string& aText) { (void)ToJson(ErrorDocument{ aText }); }));
+}
