Add the event loop of the node

Cause: the thin whole path needs a process around the reducer. Ruled out: SO_REUSEPORT, which POCO sets together with SO_REUSEADDR; two nodes on one address would share its connections silently. Measured: nothing yet; compiles. Conclusion: events in, effects out; the reducer stays free of I/O.

--- /dev/null
+++ b/apps/fulmarwayd/Main.cpp
@@ -0,0 +1,116 @@
+/** \file
+ * The node process.
+ */
+#include "node/Node.h"
+
+#include <Poco/Exception.h>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+namespace {
+
+using namespace fulmarway;
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitFailed = 1;
+
+std::atomic<int> gStopSignals{ 0 };
+
+/** The first signal starts the graceful stop, the second ends the process at once. */
+void
+HandleStopSignal(int)
+{
+  if (gStopSignals.fetch_add(1) > 0) {
+    _exit(kExitFailed);
+  }
+}
+
+std::optional<std::string>
+ReadEnvironment(const std::string& aName)
+{
+  const char* value = std::getenv(aName.c_str());
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+Instant
+ReadMonotonicClock()
+{
+  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant(std::chrono::duration_cast<Duration>(sinceStart));
+}
+
+std::uint64_t
+ReadWallClockMs()
+{
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+std::uint64_t
+ReadEntropy()
+{
+  static std::random_device device;
+  const std::uint64_t high = device();
+  return (high << 32) | device();
+}
+
+void
+SetUpLogging(const std::string& aLevel)
+{
+  auto logger = spdlog::stderr_logger_st("fulmarwayd");
+  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+  logger->set_level(spdlog::level::from_str(aLevel));
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(logger);
+}
+
+int
+RunNode(const ProcessSettings& aSettings)
+{
+  SetUpLogging(aSettings.logLevel_);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, HandleStopSignal);
+  std::signal(SIGINT, HandleStopSignal);
+  try {
+    Node node(aSettings, { ReadMonotonicClock, ReadWallClockMs, ReadEntropy });
+    spdlog::info("event=started service={} domain={} peer_address={}",
+                 aSettings.node_.identity_.service_,
+                 aSettings.node_.identity_.domain_,
+                 aSettings.node_.identity_.peerAddress_);
+    node.Run(gStopSignals);
+    spdlog::info("event=stopped");
+    return 0;
+  } catch (const Poco::Exception& error) {
+    spdlog::error("event=failed error=\"{}\"", error.displayText());
+  } catch (const std::exception& error) {
+    spdlog::error("event=failed error=\"{}\"", error.what());
+  }
+  return kExitFailed;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const auto result = ParseSettings({ aArguments + 1, aArguments + aCount }, ReadEnvironment);
+  if (!result) {
+    std::cerr << "fulmarwayd: " << result.error().subject_ << ": " << result.error().message_
+              << '\n';
+    return kExitBadSettings;
+  }
+  if (const auto* text = std::get_if<PrintAndExit>(&*result)) {
+    std::cout << text->text_;
+    return 0;
+  }
+  const auto& settings = std::get<ProcessSettings>(*result);
+  return settings.checkOnly_ ? 0 : RunNode(settings);
+}
--- /dev/null
+++ b/packages/node/AdminDocuments.h
@@ -0,0 +1,36 @@
+/** \file
+ * The documents of the admin interface, made from the state of the node.
+ */
+#pragma once
+
+#include "model/ControlDocuments.h"
+#include "policy/NodeState.h"
+
+namespace fulmarway {
+
+ServicesDocument
+MakeServicesDocument(const NodeState& aState);
+
+MembersDocument
+MakeMembersDocument(const NodeState& aState);
+
+ConfigDocument
+MakeConfigDocument(const NodeState& aState);
+
+ShedDocument
+MakeShedDocument(const NodeState& aState);
+
+LoadDocument
+MakeLoadDocument(const NodeState& aState, std::size_t aConnections);
+
+AuditDocument
+MakeAuditDocument(const NodeState& aState, std::size_t aLast);
+
+WhyDocument
+MakeWhyDocument(const NodeState& aState, const std::string& aClickId);
+
+/** The outcome of an earlier command; kUnknown when the audit trail does not hold it. */
+CommandReply
+FindCommandReply(const NodeState& aState, CommandId aId);
+
+} // namespace fulmarway
--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -34,7 +34,8 @@
   : settings_(aSettings)
   , poller_(aPoller)
 {
-  listener_.bind(settings_.address_, true);
+  // Without SO_REUSEPORT: a second process on the same address must fail.
+  listener_.bind(settings_.address_, true, false);
   listener_.listen(kBacklog);
   listener_.setBlocking(false);
   poller_.Add({ settings_.listenerRole_, 0 }, listener_);
--- /dev/null
+++ b/packages/node/Metrics.cpp
@@ -0,0 +1,137 @@
+#include "node/Metrics.h"
+
+#include <prometheus/client_metric.h>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <sstream>
+#include <vector>
+
+namespace fulmarway {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+using Labels = std::vector<ClientMetric::Label>;
+
+MetricFamily
+MakeFamily(const std::string& aName, const std::string& aHelp, MetricType aType)
+{
+  MetricFamily family;
+  family.name = "fulmarway_" + aName;
+  family.help = aHelp;
+  family.type = aType;
+  return family;
+}
+
+void
+AddValue(MetricFamily& aFamily, double aValue, Labels aLabels = {})
+{
+  ClientMetric metric;
+  metric.label = std::move(aLabels);
+  metric.counter.value = aValue;
+  metric.gauge.value = aValue;
+  aFamily.metric.push_back(std::move(metric));
+}
+
+MetricFamily
+MakeSingle(const std::string& aName, const std::string& aHelp, MetricType aType, double aValue)
+{
+  MetricFamily family = MakeFamily(aName, aHelp, aType);
+  AddValue(family, aValue);
+  return family;
+}
+
+MetricFamily
+MakeRefusals(const Counters& aCounters)
+{
+  MetricFamily family =
+    MakeFamily("refusals_total", "Requests that were refused or failed", MetricType::Counter);
+  for (const auto& [key, count] : aCounters.refusals_) {
+    AddValue(family,
+             static_cast<double>(count),
+             { { "side", key.side_ == RefusalSide::kInbound ? "inbound" : "outbound" },
+               { "service", key.service_ },
+               { "kind", key.kind_ },
+               { "importance", std::string(ToString(key.importance_)) },
+               { "verdict", std::string(ToString(key.verdict_)) },
+               { "reason", std::string(ToString(key.reason_)) } });
+  }
+  return family;
+}
+
+MetricFamily
+MakeMembers(const NodeState& aState)
+{
+  std::map<std::pair<std::string, MemberState>, std::uint32_t> counts;
+  for (const MemberRecord& record : Members(aState.membership_)) {
+    ++counts[{ record.identity_.domain_, record.state_ }];
+  }
+  MetricFamily family = MakeFamily("members", "Known other nodes", MetricType::Gauge);
+  for (const auto& [key, count] : counts) {
+    AddValue(
+      family, count, { { "domain", key.first }, { "state", std::string(ToString(key.second)) } });
+  }
+  return family;
+}
+
+void
+AddGauges(std::vector<MetricFamily>& aFamilies, const NodeState& aState, const LoopCounters& aLoop)
+{
+  const auto add = [&](const char* aName, const char* aHelp, double aValue) {
+    aFamilies.push_back(MakeSingle(aName, aHelp, MetricType::Gauge, aValue));
+  };
+  add("config_version", "Configuration version in force", ConfigOf(aState).version_);
+  add("concurrency_limit", "Requests that may run at once", LimitOf(aState.admission_));
+  add("running_requests", "Requests on the backend server", RunningCount(aState.admission_));
+  add("queued_requests", "Requests that wait for a slot", QueuedCount(aState.admission_));
+  add("admission_level",
+      "Requests with a rank of this or more are refused",
+      LevelOf(aState.admission_).admitBelow_);
+  add("tickets", "Tickets that are remembered", TicketCount(aState.tickets_));
+  add("outbound_calls", "Calls in progress", aState.outbound_.calls_.size());
+  add("backend_healthy", "Whether the backend server answers", aState.lifecycle_.backendHealthy_);
+  add("log_reachable", "Whether the log service answers", aState.control_.logReachable_);
+  add("caller_connections", "Open connections of callers", aLoop.callerConnections_);
+}
+
+void
+AddLoopCounters(std::vector<MetricFamily>& aFamilies, const LoopCounters& aLoop)
+{
+  const auto add = [&](const char* aName, const char* aHelp, std::uint64_t aValue) {
+    aFamilies.push_back(MakeSingle(aName, aHelp, MetricType::Counter, static_cast<double>(aValue)));
+  };
+  add("invalid_requests_total", "Malformed HTTP requests", aLoop.invalidRequests_);
+  add("invalid_peer_messages_total", "Dropped TCP messages", aLoop.invalidPeerMessages_);
+  add("invalid_datagrams_total", "Dropped UDP messages", aLoop.invalidDatagrams_);
+  add("undecodable_log_records_total", "Log records passed over", aLoop.undecodableLogRecords_);
+  add("control_sent_bytes_total", "Bytes of gossip and log traffic", aLoop.controlBytesSent_);
+  add(
+    "control_received_bytes_total", "Bytes of gossip and log traffic", aLoop.controlBytesReceived_);
+}
+
+} // namespace
+
+std::string
+RenderMetrics(const NodeState& aState, const LoopCounters& aLoop)
+{
+  std::vector<MetricFamily> families;
+  for (std::size_t index = 0; index < kCounterCount; ++index) {
+    const auto counter = static_cast<CounterId>(index);
+    families.push_back(MakeSingle(std::string(CounterName(counter)) + "_total",
+                                  "Since the start of the process",
+                                  MetricType::Counter,
+                                  static_cast<double>(aState.counters_.Value(counter))));
+  }
+  families.push_back(MakeRefusals(aState.counters_));
+  families.push_back(MakeMembers(aState));
+  AddGauges(families, aState, aLoop);
+  AddLoopCounters(families, aLoop);
+  std::ostringstream stream;
+  prometheus::TextSerializer().Serialize(stream, families);
+  return std::move(stream).str();
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/node/Node.cpp
@@ -0,0 +1,520 @@
+#include "node/Node.h"
+
+#include "platform/LogProtocol.h"
+#include "wire/ControlJson.h"
+#include "wire/Frame.h"
+#include "wire/HttpMapping.h"
+
+#include <Poco/Exception.h>
+#include <array>
+#include <spdlog/spdlog.h>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr Duration kHealthInterval = std::chrono::milliseconds(500);
+constexpr Duration kHealthTimeout = std::chrono::seconds(1);
+constexpr Duration kLogTimeout = std::chrono::seconds(2);
+/** The reducer ends requests at their deadline; this only bounds a connection that it forgot. */
+constexpr Duration kBackendTimeout = std::chrono::minutes(15);
+constexpr Duration kExitFlushTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxAdminBodyBytes = 64U << 10;
+/** A snapshot of the configuration with its audit trail at the target size fits. */
+constexpr std::size_t kMaxLogBodyBytes = 16U << 20;
+constexpr int kMaxDatagramsInTurn = 256;
+constexpr std::uint64_t kReadToken = ~std::uint64_t{ 2 };
+/** IP and UDP headers of one datagram. */
+constexpr std::size_t kDatagramOverhead = 28;
+
+Poco::Net::HTTPResponse
+MakeResponseHead()
+{
+  return { Poco::Net::HTTPMessage::HTTP_1_1, Poco::Net::HTTPResponse::HTTP_OK };
+}
+
+Answer
+MakeAnswer(HttpResponseMessage aMessage)
+{
+  Answer answer;
+  answer.status_ = static_cast<std::uint16_t>(aMessage.head_.getStatus());
+  if (const std::string& type = aMessage.head_.getContentType();
+      type != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE) {
+    answer.contentType_ = type;
+  }
+  answer.body_ = std::move(aMessage.body_);
+  return answer;
+}
+
+AppendResult
+AppendResultOf(const HttpResult& aResult)
+{
+  switch (aResult.outcome_) {
+    case ExchangeOutcome::kNotSent:
+      return AppendResult::kRefused;
+    case ExchangeOutcome::kLost:
+      return AppendResult::kUnknown;
+    case ExchangeOutcome::kAnswered:
+      break;
+  }
+  const auto status = aResult.response_->head_.getStatus();
+  if (status == Poco::Net::HTTPResponse::HTTP_OK) {
+    return ParseAppendAnswer(aResult.response_->body_) ? AppendResult::kAppended
+                                                       : AppendResult::kUnknown;
+  }
+  constexpr int kTooManyRequests = 429;
+  return static_cast<int>(status) == kTooManyRequests ? AppendResult::kRefused
+                                                      : AppendResult::kUnknown;
+}
+
+/** The identity of this run of the node. */
+NodeSettings
+WithRun(NodeSettings aSettings, const NodeClock& aClock)
+{
+  aSettings.identity_.generation_ = aClock.wallTimeMs_();
+  aSettings.identity_.incarnation_ = { aClock.entropy_(), aClock.entropy_() };
+  return aSettings;
+}
+
+} // namespace
+
+Node::Node(const ProcessSettings& aSettings, NodeClock aClock)
+  : settings_(aSettings)
+  , clock_(std::move(aClock))
+  , now_(clock_.now_())
+  , state_(MakeNodeState(WithRun(aSettings.node_, clock_), now_))
+  , callers_({ aSettings.listen_,
+               SocketRole::kCallerListener,
+               SocketRole::kCallerConnection,
+               aSettings.maxConnections_,
+               kMaxBodyBytes },
+             poller_)
+  , admin_({ aSettings.adminListen_,
+             SocketRole::kAdminListener,
+             SocketRole::kAdminConnection,
+             64,
+             kMaxAdminBodyBytes },
+           poller_)
+  , peers_(aSettings.peerListen_, state_.settings_.identity_, aSettings.node_.clusterKey_, poller_)
+  , backend_({ aSettings.backend_, SocketRole::kBackendConnection, kMaxBodyBytes }, poller_)
+  , healthChecks_({ aSettings.backend_, SocketRole::kHealthConnection, kMaxAdminBodyBytes },
+                  poller_)
+  , gossip_(aSettings.peerListen_, false)
+{
+  if (aSettings.logService_) {
+    log_.emplace(
+      HttpClientSettings{ *aSettings.logService_, SocketRole::kLogConnection, kMaxLogBodyBytes },
+      poller_);
+  }
+  gossip_.setBlocking(false);
+  poller_.Add({ SocketRole::kGossip, 0 }, gossip_);
+}
+
+void
+Node::Run(const std::atomic<int>& aStopSignals)
+{
+  Instant nextTickAt = now_;
+  bool stopSeen = false;
+  while (!exiting_) {
+    const Duration wait = std::max(Duration(0), nextTickAt - now_);
+    const auto ready = poller_.Poll(std::chrono::ceil<std::chrono::milliseconds>(wait));
+    now_ = clock_.now_();
+    for (const ReadySocket& socket : ready) {
+      HandleReady(socket);
+    }
+    if (!stopSeen && aStopSignals.load() > 0) {
+      stopSeen = true;
+      Dispatch(StopRequested{});
+    }
+    if (now_ >= nextTickAt) {
+      nextTickAt = now_ + kTickInterval;
+      RunTick();
+    }
+    CollectPeerEvents();
+    CollectBackendResults();
+    CollectLogResults();
+    DrainQueue();
+  }
+  const Instant flushUntil = now_ + kExitFlushTime;
+  while (HasPendingOutput() && now_ < flushUntil) {
+    for (const ReadySocket& socket : poller_.Poll(kTickInterval)) {
+      HandleReady(socket);
+    }
+    now_ = clock_.now_();
+  }
+}
+
+bool
+Node::HasPendingOutput() const
+{
+  return callers_.HasPendingOutput() || peers_.HasPendingOutput();
+}
+
+void
+Node::Dispatch(EventBody aBody)
+{
+  queue_.push_back(std::move(aBody));
+  DrainQueue();
+}
+
+void
+Node::DrainQueue()
+{
+  while (!queue_.empty()) {
+    Event event{ now_, clock_.entropy_(), clock_.wallTimeMs_(), std::move(queue_.front()) };
+    queue_.pop_front();
+    auto step = Reduce(std::move(state_), event);
+    state_ = std::move(step.state_);
+    RunEffects(std::move(step.result_));
+    CollectPeerEvents();
+    CollectBackendResults();
+    CollectLogResults();
+  }
+}
+
+void
+Node::RunEffects(Effects aEffects)
+{
+  for (Effect& effect : aEffects) {
+    std::visit([this](auto& aEffect) { RunEffect(aEffect); }, effect);
+  }
+}
+
+void
+Node::RunTick()
+{
+  peers_.Advance(now_);
+  backend_.Advance(now_);
+  healthChecks_.Advance(now_);
+  if (log_) {
+    log_->Advance(now_);
+  }
+  callers_.CloseIdle(now_);
+  admin_.CloseIdle(now_);
+  CheckBackend();
+  Dispatch(Tick{});
+}
+
+void
+Node::HandleReady(const ReadySocket& aReady)
+{
+  switch (aReady.key_.role_) {
+    case SocketRole::kCallerListener:
+      callers_.Accept(now_);
+      break;
+    case SocketRole::kCallerConnection:
+      HandleCallerEvents(callers_.HandleReady(aReady, now_));
+      break;
+    case SocketRole::kAdminListener:
+      admin_.Accept(now_);
+      break;
+    case SocketRole::kAdminConnection:
+      HandleAdminEvents(admin_.HandleReady(aReady, now_));
+      break;
+    case SocketRole::kPeerListener:
+      peers_.Accept();
+      break;
+    case SocketRole::kAcceptedLink:
+    case SocketRole::kPeerLink:
+      peers_.HandleReady(aReady, now_);
+      break;
+    case SocketRole::kBackendConnection:
+      backend_.HandleReady(aReady, now_);
+      break;
+    case SocketRole::kHealthConnection:
+      healthChecks_.HandleReady(aReady, now_);
+      break;
+    case SocketRole::kLogConnection:
+      log_->HandleReady(aReady, now_);
+      break;
+    case SocketRole::kGossip:
+      ReadGossip();
+      break;
+  }
+}
+
+void
+Node::HandleCallerEvents(HttpServerEvents aEvents)
+{
+  counters_.invalidRequests_ += aEvents.invalid_;
+  for (const ExchangeId exchange : aEvents.disconnected_) {
+    queue_.push_back(CallerDisconnected{ exchange });
+  }
+  for (ArrivedRequest& arrived : aEvents.requests_) {
+    auto request = ParseCallerRequest(arrived.message_.head_, std::move(arrived.message_.body_));
+    if (!request) {
+      ++counters_.invalidRequests_;
+      Poco::Net::HTTPResponse head = MakeResponseHead();
+      const std::string body = FormatInvalidRequest(request.error(), head);
+      HandleCallerEvents(callers_.Reply(arrived.exchange_, head, body, now_));
+      continue;
+    }
+    request->callerAddress_ = arrived.peer_;
+    queue_.push_back(CallerRequestArrived{ arrived.exchange_, std::move(*request) });
+  }
+}
+
+void
+Node::HandleAdminEvents(HttpServerEvents aEvents)
+{
+  for (const ArrivedRequest& arrived : aEvents.requests_) {
+    AdminResult result =
+      HandleAdminRequest(state_, CurrentCounters(), arrived.exchange_, arrived.message_);
+    if (const auto* reply = std::get_if<AdminReply>(&result)) {
+      SendAdminReply(arrived.exchange_, *reply);
+    } else {
+      queue_.push_back(std::move(std::get<EventBody>(result)));
+    }
+  }
+}
+
+void
+Node::SendAdminReply(ExchangeId aExchange, const AdminReply& aReply)
+{
+  Poco::Net::HTTPResponse head = MakeResponseHead();
+  head.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aReply.status_));
+  head.setContentType(aReply.contentType_);
+  HandleAdminEvents(admin_.Reply(aExchange, head, aReply.body_, now_));
+}
+
+LoopCounters
+Node::CurrentCounters() const
+{
+  LoopCounters counters = counters_;
+  counters.invalidPeerMessages_ = peers_.InvalidMessages();
+  counters.callerConnections_ = callers_.ConnectionCount();
+  return counters;
+}
+
+void
+Node::ReadGossip()
+{
+  static thread_local std::array<char, kMaxDatagramBytes> buffer;
+  try {
+    for (int turn = 0; turn < kMaxDatagramsInTurn; ++turn) {
+      Poco::Net::SocketAddress sender;
+      const int received =
+        gossip_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
+      if (received <= 0) {
+        return;
+      }
+      const auto size = static_cast<std::size_t>(received);
+      counters_.controlBytesReceived_ += size + kDatagramOverhead;
+      auto message = DecodeDatagram(settings_.node_.clusterKey_, { buffer.data(), size });
+      if (message) {
+        queue_.push_back(GossipArrived{ std::move(*message) });
+      } else {
+        ++counters_.invalidDatagrams_;
+      }
+    }
+  } catch (const Poco::Exception&) {
+    // An earlier datagram was refused by its receiver; there is nothing to read now.
+  }
+}
+
+void
+Node::CollectPeerEvents()
+{
+  for (EventBody& event : peers_.TakeEvents()) {
+    queue_.push_back(std::move(event));
+  }
+}
+
+void
+Node::CollectBackendResults()
+{
+  for (HttpResult& result : backend_.TakeResults()) {
+    const RequestId id{ result.token_ };
+    if (result.outcome_ != ExchangeOutcome::kAnswered) {
+      queue_.push_back(BackendFailed{ id, result.outcome_ == ExchangeOutcome::kLost });
+      continue;
+    }
+    NoteHealth(NoteBackendAnswer(health_, now_));
+    const bool isRefused = IsRefusedByBackend(result.response_->head_);
+    queue_.push_back(BackendAnswered{ id, MakeAnswer(std::move(*result.response_)), isRefused });
+  }
+  for (const HttpResult& result : healthChecks_.TakeResults()) {
+    healthCheckRunning_ = false;
+    const bool isPassed = result.outcome_ == ExchangeOutcome::kAnswered &&
+                          result.response_->head_.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+    NoteHealth(NoteHealthCheck(health_, isPassed, now_));
+  }
+}
+
+void
+Node::NoteHealth(BackendHealth aHealth)
+{
+  const bool hasChanged = aHealth.healthy_ != health_.healthy_;
+  health_ = aHealth;
+  if (hasChanged) {
+    queue_.push_back(BackendHealthChanged{ health_.healthy_ });
+  }
+}
+
+void
+Node::CheckBackend()
+{
+  if (healthCheckRunning_ || now_ < nextHealthCheckAt_) {
+    return;
+  }
+  healthCheckRunning_ = true;
+  nextHealthCheckAt_ = now_ + kHealthInterval;
+  Poco::Net::HTTPRequest head(
+    Poco::Net::HTTPRequest::HTTP_GET, "/health", Poco::Net::HTTPMessage::HTTP_1_1);
+  healthChecks_.Send(0, head, "", now_, now_ + kHealthTimeout);
+}
+
+void
+Node::CollectLogResults()
+{
+  if (!log_) {
+    return;
+  }
+  for (HttpResult& result : log_->TakeResults()) {
+    HandleLogResult(std::move(result));
+  }
+}
+
+void
+Node::HandleLogResult(HttpResult aResult)
+{
+  if (aResult.response_) {
+    counters_.controlBytesReceived_ += aResult.response_->body_.size();
+  }
+  if (aResult.token_ != kReadToken) {
+    queue_.push_back(AppendFinished{ aResult.token_, AppendResultOf(aResult) });
+    return;
+  }
+  const bool isAnswered = aResult.outcome_ == ExchangeOutcome::kAnswered &&
+                          aResult.response_->head_.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+  if (!isAnswered) {
+    queue_.push_back(LogReadFailed{});
+    return;
+  }
+  const auto& response = *aResult.response_;
+  auto batch = ParseReadAnswer(settings_.node_.clusterKey_,
+                               response.head_.get("Fulmarway-Earliest", ""),
+                               response.head_.get("Fulmarway-Latest", ""),
+                               response.body_);
+  if (!batch) {
+    queue_.push_back(LogReadFailed{});
+    return;
+  }
+  counters_.undecodableLogRecords_ += batch->undecodable_;
+  queue_.push_back(
+    LogRecordsRead{ batch->earliest_, batch->latest_, batch->next_, std::move(batch->records_) });
+}
+
+void
+Node::RunEffect(ReplyToCaller& aEffect)
+{
+  Poco::Net::HTTPResponse head = MakeResponseHead();
+  const std::string body = FormatCallerReply(aEffect.reply_, head);
+  HandleCallerEvents(callers_.Reply(aEffect.exchange_, head, body, now_));
+}
+
+void
+Node::RunEffect(SendToPeer& aEffect)
+{
+  peers_.SendToPeer(aEffect.peer_, aEffect.address_, aEffect.message_, now_);
+}
+
+void
+Node::RunEffect(SendToLink& aEffect)
+{
+  peers_.SendToLink(aEffect.link_, aEffect.message_);
+}
+
+void
+Node::RunEffect(SendGossip& aEffect)
+{
+  const std::string datagram = EncodeDatagram(settings_.node_.clusterKey_, aEffect.message_);
+  try {
+    gossip_.sendTo(datagram.data(),
+                   static_cast<int>(datagram.size()),
+                   Poco::Net::SocketAddress(aEffect.address_));
+    counters_.controlBytesSent_ += datagram.size() + kDatagramOverhead;
+  } catch (const Poco::Exception&) {
+    // A lost datagram; gossip repeats what matters.
+  }
+}
+
+void
+Node::RunEffect(CallBackend& aEffect)
+{
+  Poco::Net::HTTPRequest head;
+  FormatBackendRequest(aEffect.request_, head);
+  backend_.Send(aEffect.request_.id_.value_,
+                head,
+                aEffect.request_.request_.body_,
+                now_,
+                now_ + kBackendTimeout);
+}
+
+void
+Node::RunEffect(CancelBackend& aEffect)
+{
+  backend_.Cancel(aEffect.request_.value_);
+}
+
+void
+Node::RunEffect(ReadLog& aEffect)
+{
+  if (!log_) {
+    queue_.push_back(LogReadFailed{});
+    return;
+  }
+  const LogRequest request = MakeReadRequest(aEffect.from_);
+  Poco::Net::HTTPRequest head(request.method_, request.uri_, Poco::Net::HTTPMessage::HTTP_1_1);
+  counters_.controlBytesSent_ += request.uri_.size();
+  log_->Send(kReadToken, head, request.body_, now_, now_ + kLogTimeout);
+}
+
+void
+Node::RunEffect(AppendLog& aEffect)
+{
+  if (!log_) {
+    queue_.push_back(AppendFinished{ aEffect.token_, AppendResult::kRefused });
+    return;
+  }
+  const LogRequest request = MakeAppendRequest(settings_.node_.clusterKey_, aEffect.record_);
+  Poco::Net::HTTPRequest head(request.method_, request.uri_, Poco::Net::HTTPMessage::HTTP_1_1);
+  counters_.controlBytesSent_ += request.body_.size();
+  log_->Send(aEffect.token_, head, request.body_, now_, now_ + kLogTimeout);
+}
+
+void
+Node::RunEffect(ReplyToCommand& aEffect)
+{
+  SendAdminReply(aEffect.exchange_, { 200, "application/json", ToJson(aEffect.reply_) });
+}
+
+void
+Node::RunEffect(ReplyInForce& aEffect)
+{
+  SendAdminReply(aEffect.exchange_, { 200, "application/json", ToJson(aEffect.document_) });
+}
+
+void
+Node::RunEffect(LogLine& aEffect)
+{
+  std::string fields;
+  for (const auto& [name, value] : aEffect.fields_) {
+    fields += ' ' + name + '=' + value;
+  }
+  spdlog::info("event={}{}", aEffect.event_, fields);
+}
+
+void
+Node::RunEffect(StopAccepting&)
+{
+  callers_.StopAccepting();
+}
+
+void
+Node::RunEffect(ExitProcess&)
+{
+  exiting_ = true;
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/node/Node.h
@@ -0,0 +1,94 @@
+/** \file
+ * The event loop of a node: sockets and timers become events, effects become I/O.
+ */
+#pragma once
+
+#include "node/AdminApi.h"
+#include "node/HttpClient.h"
+#include "node/HttpServer.h"
+#include "node/Metrics.h"
+#include "node/PeerLinks.h"
+#include "node/Settings.h"
+#include "policy/BackendHealth.h"
+#include "policy/Reducer.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace fulmarway {
+
+/** Sources of time and randomness, so that nothing else reads them. */
+struct NodeClock
+{
+  std::function<Instant()> now_;
+  std::function<std::uint64_t()> wallTimeMs_;
+  std::function<std::uint64_t()> entropy_;
+};
+
+class Node
+{
+public:
+  /** Opens all sockets. Throws Poco::Exception when an address cannot be used. */
+  Node(const ProcessSettings& aSettings, NodeClock aClock);
+
+  /** Runs until the graceful stop has ended. aStopSignals counts the stop signals received. */
+  void Run(const std::atomic<int>& aStopSignals);
+
+private:
+  void Dispatch(EventBody aBody);
+  void DrainQueue();
+  void RunEffects(Effects aEffects);
+  void RunTick();
+  void HandleReady(const ReadySocket& aReady);
+  void HandleCallerEvents(HttpServerEvents aEvents);
+  void HandleAdminEvents(HttpServerEvents aEvents);
+  void SendAdminReply(ExchangeId aExchange, const AdminReply& aReply);
+  void ReadGossip();
+  void CollectPeerEvents();
+  void CollectBackendResults();
+  void CollectLogResults();
+  void HandleLogResult(HttpResult aResult);
+  void CheckBackend();
+  void NoteHealth(BackendHealth aHealth);
+  bool HasPendingOutput() const;
+  LoopCounters CurrentCounters() const;
+
+  void RunEffect(ReplyToCaller& aEffect);
+  void RunEffect(SendToPeer& aEffect);
+  void RunEffect(SendToLink& aEffect);
+  void RunEffect(SendGossip& aEffect);
+  void RunEffect(CallBackend& aEffect);
+  void RunEffect(CancelBackend& aEffect);
+  void RunEffect(ReadLog& aEffect);
+  void RunEffect(AppendLog& aEffect);
+  void RunEffect(ReplyToCommand& aEffect);
+  void RunEffect(ReplyInForce& aEffect);
+  void RunEffect(LogLine& aEffect);
+  void RunEffect(StopAccepting& aEffect);
+  void RunEffect(ExitProcess& aEffect);
+
+  ProcessSettings settings_;
+  NodeClock clock_;
+  Instant now_;
+  NodeState state_;
+  Poller poller_;
+  HttpServer callers_;
+  HttpServer admin_;
+  PeerLinks peers_;
+  HttpClient backend_;
+  HttpClient healthChecks_;
+  std::optional<HttpClient> log_;
+  Poco::Net::DatagramSocket gossip_;
+  BackendHealth health_;
+  Instant nextHealthCheckAt_;
+  bool healthCheckRunning_ = false;
+  std::deque<EventBody> queue_;
+  LoopCounters counters_;
+  bool exiting_ = false;
+};
+
+} // namespace fulmarway
--- a/packages/node/Poller.h
+++ b/packages/node/Poller.h
@@ -26,6 +26,7 @@
   kAcceptedLink,
   kPeerLink,
   kBackendConnection,
+  kHealthConnection,
   kLogConnection,
   kGossip,
 };
--- /dev/null
+++ b/packages/node/Settings.h
@@ -0,0 +1,49 @@
+/** \file
+ * Settings of the node process, from flags and environment variables, checked at start.
+ */
+#pragma once
+
+#include "model/Error.h"
+#include "policy/NodeState.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <functional>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace fulmarway {
+
+struct ProcessSettings
+{
+  /** Without the identity's generation and incarnation, which are drawn at start. */
+  NodeSettings node_;
+  Poco::Net::SocketAddress listen_;
+  Poco::Net::SocketAddress peerListen_;
+  Poco::Net::SocketAddress adminListen_;
+  Poco::Net::SocketAddress backend_;
+  std::optional<Poco::Net::SocketAddress> logService_;
+  std::size_t maxConnections_ = 2000;
+  std::string logLevel_ = "info";
+  /** --check-settings: end after the check. */
+  bool checkOnly_ = false;
+};
+
+/** --help or --version was given: print the text and end with status 0. */
+struct PrintAndExit
+{
+  std::string text_;
+};
+
+using SettingsResult = tl::expected<std::variant<ProcessSettings, PrintAndExit>, UserError>;
+
+/** Value of an environment variable; nullopt when it is not set. */
+using Environment = std::function<std::optional<std::string>(const std::string&)>;
+
+/** A flag outranks its environment variable. The error names the setting, its value and what is
+ * allowed. */
+SettingsResult
+ParseSettings(const std::vector<std::string>& aArguments, const Environment& aEnvironment);
+
+} // namespace fulmarway
