Add the operator language and its client

Cause: operators and nodes need one grammar for commands, and a client that knows what became of a command whose answer was lost.

- Lexer, parser and typed statements; an error names what was expected and points at the word.
Nothing of a script runs when a part of it is wrong.
- Client: tries the next node; after a lost answer it asks for its command id on all nodes for 5 s before it says that the outcome is unknown.
- Session: runs statements and prints tables or JSON lines.
The base version of a command is the version that the operator saw, or that of the operator's own last command on the same subject when higher.
- Describe() prints "none" for a removed limit, as the grammar has it.
It printed 0, which the grammar refuses.
- Names and addresses are checked by model/Address.h, used by the parser and by the fold.

--- /dev/null
+++ b/packages/ctl/Client.cpp
@@ -0,0 +1,158 @@
+#include "ctl/Client.h"
+
+#include "wire/ControlJson.h"
+
+#include <utility>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+
+std::string
+ErrorText(const std::string& aNode, const HttpReply& aReply)
+{
+  const auto error = ParseErrorDocument(aReply.body_);
+  return aNode + ": " + (error ? error->error_ : "status " + std::to_string(aReply.status_));
+}
+
+bool
+IsFinal(ReplyOutcome aOutcome)
+{
+  return aOutcome == ReplyOutcome::kAccepted || aOutcome == ReplyOutcome::kConflict ||
+         aOutcome == ReplyOutcome::kRejected;
+}
+
+} // namespace
+
+Client::Client(ClientSettings aSettings, ClientEnvironment aEnvironment)
+  : settings_(std::move(aSettings))
+  , environment_(std::move(aEnvironment))
+{
+}
+
+const std::string&
+Client::NodeAt(std::size_t aAttempt) const
+{
+  return settings_.nodes_[(preferred_ + aAttempt) % settings_.nodes_.size()];
+}
+
+void
+Client::Prefer(std::size_t aAttempt)
+{
+  preferred_ = (preferred_ + aAttempt) % settings_.nodes_.size();
+}
+
+tl::expected<HttpReply, TransportError>
+Client::Call(const std::string& aNode, const HttpQuery& aQuery)
+{
+  return environment_.transport_(aNode, aQuery, settings_.timeout_);
+}
+
+tl::expected<std::string, ClientError>
+Client::Get(const std::string& aPath)
+{
+  std::string faults;
+  for (std::size_t attempt = 0; attempt < settings_.nodes_.size(); ++attempt) {
+    const std::string& node = NodeAt(attempt);
+    const auto reply = Call(node, { "GET", aPath, {} });
+    if (reply && reply->status_ == kOk) {
+      Prefer(attempt);
+      return reply->body_;
+    }
+    if (reply && reply->status_ < kFirstServerError) {
+      return tl::unexpected(ClientError{ ClientFault::kRefused, ErrorText(node, *reply) });
+    }
+    faults += (faults.empty() ? "" : "; ") +
+              (reply ? ErrorText(node, *reply) : node + ": " + reply.error().detail_);
+  }
+  return tl::unexpected(ClientError{ ClientFault::kNoNode, faults });
+}
+
+tl::expected<CommandReply, ClientError>
+Client::Send(std::string_view aText, std::uint64_t aBaseVersion)
+{
+  const CommandId id{ environment_.random_() };
+  const std::string body =
+    ToJson(CommandRequest{ id, settings_.operator_, aBaseVersion, std::string(aText) });
+  std::string faults;
+  std::optional<CommandReply> unavailable;
+  for (std::size_t attempt = 0; attempt < settings_.nodes_.size(); ++attempt) {
+    const std::string& node = NodeAt(attempt);
+    const auto reply = Call(node, { "POST", "/control/v1/command", body });
+    if (!reply && reply.error().fault_ == TransportFault::kNotConnected) {
+      faults += (faults.empty() ? "" : "; ") + node + ": " + reply.error().detail_;
+      continue;
+    }
+    if (reply && reply->status_ != kOk && reply->status_ < kFirstServerError) {
+      return tl::unexpected(ClientError{ ClientFault::kRefused, ErrorText(node, *reply) });
+    }
+    // A server error or an answer that cannot be read says nothing about the command.
+    const auto parsed = reply && reply->status_ == kOk
+                          ? ParseCommandReply(reply->body_)
+                          : tl::expected<CommandReply, UserError>(CommandReply{});
+    if (!parsed || parsed->outcome_ == ReplyOutcome::kUnknown) {
+      return InquireUntilKnown(id);
+    }
+    if (parsed->outcome_ == ReplyOutcome::kUnavailable) {
+      unavailable = *parsed;
+      continue;
+    }
+    Prefer(attempt);
+    return *parsed;
+  }
+  if (unavailable) {
+    return *unavailable;
+  }
+  return tl::unexpected(ClientError{ ClientFault::kNoNode, faults });
+}
+
+tl::expected<CommandReply, ClientError>
+Client::Inquire(CommandId aId)
+{
+  std::string faults;
+  std::optional<CommandReply> unknown;
+  for (std::size_t attempt = 0; attempt < settings_.nodes_.size(); ++attempt) {
+    const std::string& node = NodeAt(attempt);
+    const auto reply = Call(node, { "GET", "/control/v1/command?id=" + ToHex(aId.value_), {} });
+    const auto parsed = reply && reply->status_ == kOk ? ParseCommandReply(reply->body_)
+                                                       : tl::unexpected(UserError{});
+    if (parsed && IsFinal(parsed->outcome_)) {
+      Prefer(attempt);
+      return *parsed;
+    }
+    if (parsed) {
+      unknown = CommandReply{ ReplyOutcome::kUnknown, parsed->version_, 0, parsed->detail_ };
+    } else {
+      faults += (faults.empty() ? "" : "; ") +
+                (reply ? ErrorText(node, *reply) : node + ": " + reply.error().detail_);
+    }
+  }
+  if (unknown) {
+    return *unknown;
+  }
+  return tl::unexpected(ClientError{ ClientFault::kNoNode, faults });
+}
+
+CommandReply
+Client::InquireUntilKnown(CommandId aId)
+{
+  const Instant deadline = environment_.now_() + settings_.inquiryTime_;
+  CommandReply last;
+  do {
+    if (const auto reply = Inquire(aId)) {
+      if (IsFinal(reply->outcome_)) {
+        return *reply;
+      }
+      last = *reply;
+    }
+    environment_.pause_(settings_.inquiryPause_);
+  } while (environment_.now_() < deadline);
+  last.outcome_ = ReplyOutcome::kUnknown;
+  last.detail_ = "the answer was lost; ask later with: outcome " + ToHex(aId.value_);
+  return last;
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/ctl/HttpTransport.cpp
@@ -0,0 +1,97 @@
+#include "ctl/HttpTransport.h"
+
+#include "model/Address.h"
+#include "wire/ControlJson.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+#include <algorithm>
+#include <chrono>
+#include <istream>
+#include <ostream>
+
+namespace fulmarway {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+Poco::Timespan
+TimeLeft(Clock::time_point aDeadline)
+{
+  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(aDeadline - Clock::now());
+  // POCO takes a timeout of 0 as "wait for ever".
+  return std::max<Poco::Timespan::TimeDiff>(left.count(), 1000);
+}
+
+std::string
+FaultText(const Poco::Exception& aFault)
+{
+  return aFault.message().empty() ? aFault.name() : aFault.message();
+}
+
+/** Reads the body in parts, so that an answer that drips in slowly cannot pass the deadline. */
+std::string
+ReadBody(std::istream& aStream, Poco::Net::StreamSocket& aSocket, Clock::time_point aDeadline)
+{
+  std::string body;
+  char part[4096];
+  while (aStream.good()) {
+    if (Clock::now() >= aDeadline) {
+      throw Poco::TimeoutException("the answer is not complete");
+    }
+    aSocket.setReceiveTimeout(TimeLeft(aDeadline));
+    aStream.read(part, sizeof part);
+    body.append(part, static_cast<std::size_t>(aStream.gcount()));
+    if (body.size() > kMaxControlJsonBytes) {
+      throw Poco::DataFormatException("the answer is too long");
+    }
+  }
+  return body;
+}
+
+} // namespace
+
+tl::expected<HttpReply, TransportError>
+SendHttp(const std::string& aNode, const HttpQuery& aQuery, Duration aTimeout)
+{
+  if (!IsNumericAddress(aNode)) {
+    return tl::unexpected(
+      TransportError{ TransportFault::kNotConnected, "the address must be IP:PORT" });
+  }
+  const Clock::time_point deadline = Clock::now() + aTimeout;
+  Poco::Net::StreamSocket socket;
+  try {
+    socket.connect(Poco::Net::SocketAddress(aNode), TimeLeft(deadline));
+  } catch (const Poco::Exception& fault) {
+    return tl::unexpected(TransportError{ TransportFault::kNotConnected, FaultText(fault) });
+  }
+  try {
+    socket.setSendTimeout(TimeLeft(deadline));
+    socket.setReceiveTimeout(TimeLeft(deadline));
+    Poco::Net::HTTPClientSession session(socket);
+    session.setTimeout(TimeLeft(deadline));
+    Poco::Net::HTTPRequest request(aQuery.method_, aQuery.path_, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(aNode);
+    request.setKeepAlive(false);
+    if (!aQuery.body_.empty()) {
+      request.setContentType("application/json");
+      request.setContentLength64(static_cast<Poco::Int64>(aQuery.body_.size()));
+    }
+    session.sendRequest(request) << aQuery.body_;
+    Poco::Net::HTTPResponse response;
+    std::istream& stream = session.receiveResponse(response);
+    std::string body = ReadBody(stream, session.socket(), deadline);
+    const auto length = response.hasContentLength() ? response.getContentLength64() : -1;
+    if (length >= 0 && static_cast<std::size_t>(length) != body.size()) {
+      return tl::unexpected(TransportError{ TransportFault::kLost, "the answer was cut off" });
+    }
+    return HttpReply{ static_cast<int>(response.getStatus()), std::move(body) };
+  } catch (const Poco::Exception& fault) {
+    return tl::unexpected(TransportError{ TransportFault::kLost, FaultText(fault) });
+  }
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/ctl/Lexer.cpp
@@ -0,0 +1,68 @@
+#include "ctl/Lexer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::string_view kBlanks = " \t\r\v\f";
+constexpr std::string_view kWordEnds = " \t\r\v\f\n;";
+
+/** Position after the characters of aText. */
+Position
+After(Position aPosition, std::string_view aText)
+{
+  aPosition.column_ += CountCharacters(aText);
+  return aPosition;
+}
+
+} // namespace
+
+std::size_t
+CountCharacters(std::string_view aText)
+{
+  // Continuation bytes of UTF-8 are 10xxxxxx.
+  return static_cast<std::size_t>(std::count_if(aText.begin(), aText.end(), [](char aByte) {
+    return (static_cast<unsigned char>(aByte) & 0xC0U) != 0x80U;
+  }));
+}
+
+std::vector<WordList>
+SplitWords(std::string_view aText)
+{
+  std::vector<WordList> statements;
+  WordList current;
+  Position position;
+  const auto endStatement = [&statements, &current] {
+    if (!current.words_.empty()) {
+      statements.push_back(std::exchange(current, {}));
+    }
+  };
+  while (!aText.empty()) {
+    const char next = aText.front();
+    std::size_t length = 1;
+    if (next == '\n') {
+      endStatement();
+      position = { position.line_ + 1, 1 };
+      aText.remove_prefix(1);
+      continue;
+    }
+    if (next == ';') {
+      endStatement();
+    } else if (next == '#') {
+      length = std::min(aText.find('\n'), aText.size());
+    } else if (kBlanks.find(next) == std::string_view::npos) {
+      length = std::min(aText.find_first_of(kWordEnds), aText.size());
+      current.words_.push_back({ aText.substr(0, length), position });
+      current.end_ = After(position, aText.substr(0, length));
+    }
+    position = After(position, aText.substr(0, length));
+    aText.remove_prefix(length);
+  }
+  endStatement();
+  return statements;
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/ctl/Render.cpp
@@ -0,0 +1,312 @@
+#include "ctl/Render.h"
+
+#include "ctl/Text.h"
+#include "wire/ControlJson.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+namespace fulmarway {
+
+namespace {
+
+template<typename Doc>
+std::string
+JsonLine(const Doc& aDocument)
+{
+  return ToJson(aDocument) + '\n';
+}
+
+std::string
+FormatDuration(Duration aDuration)
+{
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+  return ms % 1000 == 0 ? std::to_string(ms / 1000) + 's' : std::to_string(ms) + "ms";
+}
+
+/** UTC, "2026-12-04 09:05:25.123"; the bare number when the year has more than four digits. */
+std::string
+FormatWallTime(std::uint64_t aMilliseconds)
+{
+  constexpr std::uint64_t kYear10000 = 253402300800000;
+  const auto seconds = static_cast<std::time_t>(aMilliseconds / 1000);
+  std::tm parts{};
+  char date[sizeof "YYYY-MM-DD hh:mm:ss"];
+  if (aMilliseconds >= kYear10000 || gmtime_r(&seconds, &parts) == nullptr ||
+      std::strftime(date, sizeof date, "%Y-%m-%d %H:%M:%S", &parts) == 0) {
+    return std::to_string(aMilliseconds);
+  }
+  char fraction[sizeof ".000"];
+  std::snprintf(fraction, sizeof fraction, ".%03u", static_cast<unsigned>(aMilliseconds % 1000));
+  return std::string(date) + fraction;
+}
+
+std::string
+FormatOffset(std::uint64_t aMicroseconds)
+{
+  char text[sizeof "+18446744073709551615.000ms"];
+  std::snprintf(text,
+                sizeof text,
+                "+%llu.%03llums",
+                static_cast<unsigned long long>(aMicroseconds / 1000),
+                static_cast<unsigned long long>(aMicroseconds % 1000));
+  return text;
+}
+
+std::string
+LimitText(std::uint32_t aLimit)
+{
+  return aLimit == 0 ? "none" : std::to_string(aLimit);
+}
+
+std::string
+OrDash(const std::string& aText)
+{
+  return aText.empty() ? "-" : aText;
+}
+
+std::string
+ServicesTable(const ServicesDocument& aDocument)
+{
+  std::vector<Row> rows;
+  for (const ServiceSpec& service : aDocument.services_) {
+    rows.push_back({ service.name_,
+                     std::to_string(service.slots_),
+                     std::to_string(service.connections_),
+                     LimitText(service.limit_),
+                     std::to_string(service.longSharePercent_) + '%' });
+  }
+  return RenderTable({ { "SERVICE" },
+                       { "SLOTS", Align::kRight },
+                       { "CONNECTIONS", Align::kRight },
+                       { "LIMIT", Align::kRight },
+                       { "LONG SHARE", Align::kRight } },
+                     rows);
+}
+
+std::string
+KindsTable(const ServicesDocument& aDocument)
+{
+  std::vector<Row> rows;
+  for (const ServiceSpec& service : aDocument.services_) {
+    for (const auto& [name, kind] : service.kinds_) {
+      rows.push_back({ service.name_ + '/' + name,
+                       std::string(ToString(kind.importance_)),
+                       kind.idempotent_ ? "repeatable" : "once",
+                       std::to_string(kind.extraAttempts_),
+                       FormatDuration(kind.deadline_),
+                       kind.longRunning_ ? "yes" : "no" });
+    }
+  }
+  return RenderTable({ { "KIND" },
+                       { "IMPORTANCE" },
+                       { "REPEAT" },
+                       { "ATTEMPTS", Align::kRight },
+                       { "DEADLINE", Align::kRight },
+                       { "LONG" } },
+                     rows);
+}
+
+} // namespace
+
+std::string
+DescribeLevel(AdmissionLevel aLevel)
+{
+  const std::uint16_t rank = aLevel.admitBelow_;
+  if (rank >= kHighestAdmissionLevel.admitBelow_) {
+    return "all";
+  }
+  if (rank <= kLowestAdmissionLevel.admitBelow_) {
+    return "critical only";
+  }
+  const auto next = static_cast<Importance>(rank / kClickBuckets);
+  const auto admitted = static_cast<Importance>(rank / kClickBuckets - 1);
+  const std::string whole = std::string(ToString(admitted)) + " and above";
+  if (rank % kClickBuckets == 0) {
+    return whole;
+  }
+  return whole + ", " + std::to_string(rank % kClickBuckets) + " of " +
+         std::to_string(kClickBuckets) + " buckets of " + std::string(ToString(next));
+}
+
+std::string
+Render(const CommandReply& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  std::string text =
+    std::string(ToString(aDocument.outcome_)) + ": version " + std::to_string(aDocument.version_);
+  if (aDocument.outcome_ != ReplyOutcome::kUnknown &&
+      aDocument.outcome_ != ReplyOutcome::kUnavailable) {
+    text += ", offset " + std::to_string(aDocument.offset_);
+  }
+  return text + (aDocument.detail_.empty() ? "" : "; " + Printable(aDocument.detail_)) + '\n';
+}
+
+std::string
+Render(const ServicesDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  return "version " + std::to_string(aDocument.version_) + '\n' + ServicesTable(aDocument) + '\n' +
+         KindsTable(aDocument);
+}
+
+std::string
+Render(const MembersDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  std::vector<Row> rows;
+  for (const MemberView& member : aDocument.members_) {
+    rows.push_back({ ToHex(member.id_.value_),
+                     member.address_,
+                     member.service_,
+                     member.domain_,
+                     member.region_,
+                     std::string(ToString(member.state_)),
+                     std::to_string(member.configVersion_) });
+  }
+  return RenderTable({ { "NODE" },
+                       { "ADDRESS" },
+                       { "SERVICE" },
+                       { "DOMAIN" },
+                       { "REGION" },
+                       { "STATE" },
+                       { "CONFIG", Align::kRight } },
+                     rows);
+}
+
+std::string
+Render(const ConfigDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  std::string text = RenderTable({ { "VERSION", Align::kRight },
+                                   { "NEXT OFFSET", Align::kRight },
+                                   { "COMPLETE" },
+                                   { "DRAINED", Align::kRight } },
+                                 { { std::to_string(aDocument.version_),
+                                     std::to_string(aDocument.nextOffset_),
+                                     aDocument.complete_ ? "yes" : "no",
+                                     std::to_string(aDocument.drained_.size()) } });
+  for (const std::string& address : aDocument.drained_) {
+    text += "drained: " + Printable(address) + '\n';
+  }
+  return text;
+}
+
+std::string
+Render(const ShedDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  std::vector<Row> rows;
+  for (const ShedCount& shed : aDocument.counts_) {
+    rows.push_back({ shed.service_ + '/' + shed.kind_,
+                     std::string(ToString(shed.importance_)),
+                     std::string(ToString(shed.reason_)),
+                     std::to_string(shed.count_) });
+  }
+  return "admits " + DescribeLevel(aDocument.level_) + "; limit " +
+         std::to_string(aDocument.limit_) + '\n' +
+         RenderTable({ { "KIND" }, { "IMPORTANCE" }, { "REASON" }, { "SHED", Align::kRight } },
+                     rows);
+}
+
+std::string
+Render(const LoadDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  return RenderTable({ { "LIMIT", Align::kRight },
+                       { "RUNNING", Align::kRight },
+                       { "QUEUED", Align::kRight },
+                       { "CONNECTIONS", Align::kRight },
+                       { "TICKETS", Align::kRight },
+                       { "ADMITS" } },
+                     { { std::to_string(aDocument.limit_),
+                         std::to_string(aDocument.running_),
+                         std::to_string(aDocument.queued_),
+                         std::to_string(aDocument.connections_),
+                         std::to_string(aDocument.tickets_),
+                         DescribeLevel(aDocument.level_) } });
+}
+
+std::string
+Render(const AuditDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  std::vector<Row> rows;
+  for (const AuditLine& line : aDocument.entries_) {
+    rows.push_back({ FormatWallTime(line.wallTimeMs_),
+                     OrDash(line.operator_),
+                     std::string(ToString(line.outcome_)),
+                     std::to_string(line.version_),
+                     std::to_string(line.offset_),
+                     line.text_,
+                     OrDash(line.detail_) });
+  }
+  return RenderTable({ { "TIME (UTC)" },
+                       { "OPERATOR" },
+                       { "OUTCOME" },
+                       { "VERSION", Align::kRight },
+                       { "OFFSET", Align::kRight },
+                       { "COMMAND" },
+                       { "DETAIL" } },
+                     rows);
+}
+
+std::string
+Render(const WhyDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  if (aDocument.decisions_.empty()) {
+    return "click " + Printable(aDocument.clickId_) + ": no decision is remembered\n";
+  }
+  std::vector<Row> rows;
+  for (const ClickDecision& decision : aDocument.decisions_) {
+    rows.push_back({ FormatOffset(decision.offsetUs_),
+                     decision.service_ + '/' + decision.kind_,
+                     std::string(ToString(decision.verdict_)),
+                     std::string(ToString(decision.reason_)),
+                     decision.node_ });
+  }
+  return RenderTable(
+    { { "TIME", Align::kRight }, { "KIND" }, { "VERDICT" }, { "REASON" }, { "NODE" } }, rows);
+}
+
+std::string
+Render(const InForceDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return JsonLine(aDocument);
+  }
+  std::vector<Row> rows;
+  for (const DomainInForce& domain : aDocument.domains_) {
+    const std::string members = std::to_string(domain.members_);
+    rows.push_back({ domain.domain_,
+                     domain.reachable_ ? members : "-",
+                     domain.reachable_ ? std::to_string(domain.inForce_) : "-",
+                     domain.reachable_ ? "reachable" : "unreachable" });
+  }
+  return "version " + std::to_string(aDocument.version_) + '\n' +
+         RenderTable({ { "DOMAIN" },
+                       { "MEMBERS", Align::kRight },
+                       { "IN EFFECT", Align::kRight },
+                       { "STATE" } },
+                     rows);
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/ctl/Statement.h
@@ -0,0 +1,86 @@
+/** \file
+ * Statements of the operator language.
+ */
+#pragma once
+
+#include "model/Config.h"
+#include "model/Ids.h"
+#include "model/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fulmarway {
+
+enum class ShowTopic : std::uint8_t
+{
+  kServices,
+  kMembers,
+  kConfig,
+  kShed,
+  kLoad,
+};
+
+struct ShowStatement
+{
+  ShowTopic topic_ = ShowTopic::kServices;
+
+  bool operator==(const ShowStatement&) const = default;
+};
+
+/** Lists what was decided about the requests of one click. */
+struct WhyStatement
+{
+  std::string clickId_;
+
+  bool operator==(const WhyStatement&) const = default;
+};
+
+struct AuditStatement
+{
+  /** Number of the latest commands to list. */
+  std::uint32_t last_ = 20;
+
+  bool operator==(const AuditStatement&) const = default;
+};
+
+/** Waits until every reachable failure domain has the version in effect. */
+struct WaitStatement
+{
+  std::uint64_t version_ = 0;
+  /** Guarantee G8 allows 4 s. */
+  Duration timeout_ = std::chrono::seconds(4);
+
+  bool operator==(const WaitStatement&) const = default;
+};
+
+/** Asks for the outcome of an earlier command. */
+struct OutcomeStatement
+{
+  CommandId id_;
+
+  bool operator==(const OutcomeStatement&) const = default;
+};
+
+struct HelpStatement
+{
+  /** First word of a statement; empty for the overview. */
+  std::string topic_;
+
+  bool operator==(const HelpStatement&) const = default;
+};
+
+/** A Command changes the configuration; the others only read. */
+using Statement = std::variant<Command,
+                               ShowStatement,
+                               WhyStatement,
+                               AuditStatement,
+                               WaitStatement,
+                               OutcomeStatement,
+                               HelpStatement>;
+
+using Script = std::vector<Statement>;
+
+} // namespace fulmarway
--- a/packages/model/Config.cpp
+++ b/packages/model/Config.cpp
@@ -46,7 +46,8 @@
   }
   std::string operator()(const SetLimit& aCommand) const
   {
-    return "set limit " + aCommand.service_ + ' ' + std::to_string(aCommand.limit_);
+    return "set limit " + aCommand.service_ + ' ' +
+           (aCommand.limit_ == 0 ? "none" : std::to_string(aCommand.limit_));
   }
   std::string operator()(const SetDrain& aCommand) const
   {
--- a/packages/policy/CommandCheck.cpp
+++ b/packages/policy/CommandCheck.cpp
@@ -1,8 +1,7 @@
 #include "policy/ConfigFold.h"
 
-#include <algorithm>
-#include <arpa/inet.h>
-#include <charconv>
+#include "model/Address.h"
+
 #include <string_view>
 
 namespace fulmarway {
@@ -12,21 +11,15 @@
 using Fault = std::optional<std::string>;
 
 constexpr std::uint32_t kMaxPercent = 100;
-constexpr std::uint32_t kMaxPort = 65535;
 
 Fault
 CheckName(std::string_view aWhat, const std::string& aName)
 {
-  const auto allowed = [](char aChar) {
-    return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') || aChar == '-';
-  };
-  if (aName.empty() || aName.size() > kMaxNameBytes) {
-    return std::string(aWhat) + " name: must have 1 to " + std::to_string(kMaxNameBytes) + " bytes";
-  }
-  if (!std::all_of(aName.begin(), aName.end(), allowed)) {
-    return std::string(aWhat) + " name: only a-z, 0-9 and - are allowed";
+  if (IsName(aName)) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return std::string(aWhat) + " name " + aName + ": must be 1 to " + std::to_string(kMaxNameBytes) +
+         " characters of a-z, 0-9 and -";
 }
 
 Fault
@@ -48,38 +41,11 @@
   return "importance: must be critical, high, normal or low";
 }
 
-/** Whether aText is the canonical form of an address of aFamily; node ids are hashes of this form.
- */
-bool
-IsCanonicalIp(int aFamily, const std::string& aText)
-{
-  unsigned char bytes[sizeof(in6_addr)];
-  char text[INET6_ADDRSTRLEN];
-  return inet_pton(aFamily, aText.c_str(), bytes) == 1 &&
-         inet_ntop(aFamily, bytes, text, sizeof text) != nullptr && aText == text;
-}
-
-bool
-IsPort(std::string_view aText)
-{
-  std::uint32_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [parsedTo, error] = std::from_chars(aText.data(), end, port);
-  return error == std::errc{} && parsedTo == end && aText.front() != '0' && port <= kMaxPort;
-}
-
 Fault
 CheckAddress(const std::string& aAddress)
 {
-  const std::size_t colon = aAddress.rfind(':');
-  if (aAddress.size() <= kMaxNameBytes && colon != std::string::npos &&
-      aAddress.find('\0') == std::string::npos && IsPort(aAddress.substr(colon + 1))) {
-    const std::string host = aAddress.substr(0, colon);
-    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
-    if (bracketed ? IsCanonicalIp(AF_INET6, host.substr(1, host.size() - 2))
-                  : IsCanonicalIp(AF_INET, host)) {
-      return std::nullopt;
-    }
+  if (IsNumericAddress(aAddress)) {
+    return std::nullopt;
   }
   return "address " + aAddress + ": must be IP:port, for example 10.0.0.1:7000 or [fd00::1]:7000";
 }
--- a/packages/policy/ConfigFold.h
+++ b/packages/policy/ConfigFold.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "model/Address.h"
 #include "model/Config.h"
 #include "model/PeerMessage.h"
 #include "model/Step.h"
@@ -81,7 +82,6 @@
 const AuditEntry*
 FindCommand(const ConfigState& aState, CommandId aId);
 
-inline constexpr std::size_t kMaxNameBytes = 64;
 inline constexpr std::uint32_t kMaxSlots = 10000;
 inline constexpr std::uint32_t kMaxConnections = 100000;
 inline constexpr std::uint32_t kMaxExtraAttempts = 16;
