Add fulmarctl

Cause: operators need a client program; it reads settings and statements and leaves the rest to the `ctl` package.

Statements come from the arguments, a file, standard input, or a prompt when standard input is a terminal. Each setting is a flag and an environment variable; an invalid one ends the program with status 2 and one line.

Ruled out: a positional option of cxxopts, because it splits lists of strings at commas ("why a,b").

--- /dev/null
+++ b/apps/fulmarctl/Main.cpp
@@ -0,0 +1,240 @@
+/** \file
+ * The operator's client: reads settings and statements, and runs them.
+ */
+#include "ctl/HttpTransport.h"
+#include "ctl/Parser.h"
+#include "ctl/Session.h"
+#include "model/Address.h"
+
+#include <Poco/Exception.h>
+#include <chrono>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+using namespace fulmarway;
+
+namespace {
+
+struct Settings
+{
+  ClientSettings client_;
+  OutputFormat format_ = OutputFormat::kTable;
+  std::string file_;
+  std::vector<std::string> words_;
+};
+
+/** A setting that is missing or invalid; ends the process with status 2. */
+struct SettingFault
+{
+  std::string message_;
+};
+
+int
+Number(ExitStatus aStatus)
+{
+  return static_cast<int>(aStatus);
+}
+
+cxxopts::Options
+MakeOptions()
+{
+  cxxopts::Options options("fulmarctl", "Operates a Fulmarway deployment.");
+  options.positional_help("[STATEMENT...]");
+  options.add_options()("node",
+                        "Admin addresses IP:PORT, separated by commas; tried in order "
+                        "[FULMARWAY_NODE]",
+                        cxxopts::value<std::string>());
+  options.add_options()("operator",
+                        "Name for the audit trail, by default $USER [FULMARWAY_OPERATOR]",
+                        cxxopts::value<std::string>());
+  options.add_options()(
+    "output", "table or json [FULMARWAY_OUTPUT]", cxxopts::value<std::string>());
+  options.add_options()("timeout",
+                        "Time for one request to one node, such as 500ms or 2s "
+                        "[FULMARWAY_TIMEOUT]",
+                        cxxopts::value<std::string>());
+  options.add_options()("file", "Read statements from a file", cxxopts::value<std::string>());
+  options.add_options()("help", "Show this help");
+  options.add_options()("version", "Show the version");
+  return options;
+}
+
+/** The flag, else the environment variable, else aDefault. */
+std::string
+Setting(const cxxopts::ParseResult& aFlags,
+        const char* aFlag,
+        const char* aVariable,
+        const std::string& aDefault)
+{
+  if (aFlags.count(aFlag) > 0) {
+    return aFlags[aFlag].as<std::string>();
+  }
+  const char* value = std::getenv(aVariable);
+  return value != nullptr ? value : aDefault;
+}
+
+std::vector<std::string>
+SplitNodes(const std::string& aText)
+{
+  std::vector<std::string> nodes;
+  std::istringstream stream(aText);
+  for (std::string node; std::getline(stream, node, ',');) {
+    if (!IsNumericAddress(node)) {
+      throw SettingFault{ "--node " + node + ": must be IP:PORT, for example 10.0.0.1:7002" };
+    }
+    nodes.push_back(std::move(node));
+  }
+  return nodes;
+}
+
+Settings
+ReadSettings(const cxxopts::ParseResult& aFlags)
+{
+  Settings settings;
+  settings.client_.nodes_ = SplitNodes(Setting(aFlags, "node", "FULMARWAY_NODE", ""));
+  const char* user = std::getenv("USER");
+  settings.client_.operator_ =
+    Setting(aFlags, "operator", "FULMARWAY_OPERATOR", user != nullptr ? user : "unknown");
+  if (settings.client_.operator_.empty() || settings.client_.operator_.size() > kMaxNameBytes) {
+    throw SettingFault{ "--operator " + settings.client_.operator_ + ": must have 1 to " +
+                        std::to_string(kMaxNameBytes) + " bytes" };
+  }
+  const std::string output = Setting(aFlags, "output", "FULMARWAY_OUTPUT", "table");
+  if (output != "table" && output != "json") {
+    throw SettingFault{ "--output " + output + ": must be table or json" };
+  }
+  settings.format_ = output == "json" ? OutputFormat::kJson : OutputFormat::kTable;
+  const std::string timeout = Setting(aFlags, "timeout", "FULMARWAY_TIMEOUT", "2s");
+  const auto duration = ParseDuration(timeout);
+  if (!duration || *duration == Duration::zero()) {
+    throw SettingFault{ "--timeout " + timeout + ": must be a duration such as 500ms or 2s" };
+  }
+  settings.client_.timeout_ = *duration;
+  if (aFlags.count("file") > 0) {
+    settings.file_ = aFlags["file"].as<std::string>();
+  }
+  // Not a positional option, because cxxopts splits lists of strings at commas.
+  settings.words_ = aFlags.unmatched();
+  if (!settings.file_.empty() && !settings.words_.empty()) {
+    throw SettingFault{ "--file " + settings.file_ +
+                        ": cannot be used together with statements as arguments" };
+  }
+  return settings;
+}
+
+ClientEnvironment
+MakeEnvironment()
+{
+  ClientEnvironment environment;
+  environment.transport_ = SendHttp;
+  environment.now_ = [] {
+    return Instant(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+  };
+  environment.pause_ = [](Duration aDuration) { std::this_thread::sleep_for(aDuration); };
+  environment.random_ = [] {
+    std::random_device device;
+    return (std::uint64_t{ device() } << 32U) | device();
+  };
+  return environment;
+}
+
+std::string
+ReadAll(std::istream& aStream)
+{
+  return { std::istreambuf_iterator<char>(aStream), std::istreambuf_iterator<char>() };
+}
+
+/** Parses and runs a text; syntax errors are printed with the place. */
+ExitStatus
+RunText(Session& aSession, const Settings& aSettings, std::string_view aText, const char* aSource)
+{
+  const auto script = ParseScript(aText);
+  if (!script) {
+    std::cerr << RenderSyntaxError(script.error(), aSource);
+    return ExitStatus::kUsage;
+  }
+  const auto isHelp = [](const Statement& aStatement) {
+    return std::holds_alternative<HelpStatement>(aStatement);
+  };
+  if (aSettings.client_.nodes_.empty() && !std::all_of(script->begin(), script->end(), isHelp)) {
+    std::cerr << "--node: missing; give the admin address IP:PORT of at least one node\n";
+    return ExitStatus::kUsage;
+  }
+  const ExitStatus status = aSession.Run(*script);
+  std::cout.flush();
+  return status;
+}
+
+/** Returns the status of the last statement. */
+ExitStatus
+RunPrompt(Session& aSession, const Settings& aSettings)
+{
+  ExitStatus status = ExitStatus::kDone;
+  std::string line;
+  while (std::cout << "fulmarctl> " << std::flush && std::getline(std::cin, line)) {
+    if (line == "quit" || line == "exit") {
+      return status;
+    }
+    status = RunText(aSession, aSettings, line, "input");
+  }
+  std::cout << '\n';
+  return status;
+}
+
+ExitStatus
+RunSettings(const Settings& aSettings)
+{
+  Client client(aSettings.client_, MakeEnvironment());
+  Session session(client, aSettings.format_, std::cout, std::cerr);
+  if (!aSettings.file_.empty()) {
+    std::ifstream file(aSettings.file_, std::ios::binary);
+    if (!file) {
+      throw SettingFault{ "--file " + aSettings.file_ + ": cannot be read" };
+    }
+    return RunText(session, aSettings, ReadAll(file), aSettings.file_.c_str());
+  }
+  if (!aSettings.words_.empty()) {
+    std::string text;
+    for (const std::string& word : aSettings.words_) {
+      text += (text.empty() ? "" : " ") + word;
+    }
+    return RunText(session, aSettings, text, "arguments");
+  }
+  if (isatty(STDIN_FILENO) != 0) {
+    return RunPrompt(session, aSettings);
+  }
+  return RunText(session, aSettings, ReadAll(std::cin), "input");
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult flags = options.parse(aCount, aArguments);
+    if (flags.count("help") > 0) {
+      std::cout << options.help() << '\n' << HelpText({});
+      return Number(ExitStatus::kDone);
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "fulmarctl " FULMARWAY_VERSION "\n";
+      return Number(ExitStatus::kDone);
+    }
+    return Number(RunSettings(ReadSettings(flags)));
+  } catch (const SettingFault& fault) {
+    std::cerr << fault.message_ << '\n';
+  } catch (const cxxopts::exceptions::exception& fault) {
+    std::cerr << fault.what() << '\n';
+  }
+  return Number(ExitStatus::kUsage);
+}
