Add backend server and load generator stand-ins

The demo, the benchmarks and the first runs of real nodes need backend servers that cost time but no processor, and callers whose arrivals do not wait for answers.

Both run on one epoll loop with nanosecond timers (standins/support). Poco::Net::PollSet was ruled out because it rounds timeouts to milliseconds while an added latency of 1.3 ms is to be measured; a thread for each connection because hundreds of connections are kept open.

The backend server keeps a ledger of executions by kind and click. The load generator compares it with the verdicts it got, so a 'not-run' that ran and duplicates show as counts, and work for failed clicks as milliseconds.

--- /dev/null
+++ b/standins/backend-server/Main.cpp
@@ -0,0 +1,119 @@
+/** \file
+ * Stand-in for a backend server. Prints one line when it listens, and serves until SIGTERM.
+ */
+// Values such as --kind contain commas, so repeated options are not split at them.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+
+#include "BackendServer.h"
+
+#include <Poco/Exception.h>
+#include <cxxopts.hpp>
+#include <iostream>
+
+using namespace fulmarway;
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+
+cxxopts::Options
+DescribeOptions()
+{
+  cxxopts::Options options("backend-server", "Simulated backend server");
+  const auto text = [] { return cxxopts::value<std::string>(); };
+  const auto list = [] { return cxxopts::value<std::vector<std::string>>(); };
+  const auto number = [](const char* aDefault) {
+    return cxxopts::value<std::uint64_t>()->default_value(aDefault);
+  };
+  auto add = options.add_options();
+  add("listen", "IP:PORT", text());
+  add("slots", "requests in work at the same time", number("8"));
+  add("queue-limit", "static bound of the queue; further requests get 503", number("0"));
+  add("node", "IP:PORT of the own node, for deeper calls", text());
+  add("plan", "file with one --kind value on each line", text());
+  add("kind",
+      "PATH=SERVICE_MS[,long-share=S][,long-factor=F][,calls=SERVICE/KIND;...][,bytes=N]",
+      list());
+  add("once", "PATH that must run at most once for each click", list());
+  add("distribution", "exponential or constant", text()->default_value("exponential"));
+  add("cold-start-ms", "time until /health answers 200", number("0"));
+  add("seed", "seed of the service times", number("1"));
+  add("peers", "SERVICE=IP:PORT,... called directly instead of through the node", list());
+  add("call-retries", "repeats of a failed direct call", number("0"));
+  add("call-timeout-ms", "for deeper calls without a deadline", number("2000"));
+  add("keep-abandoned", "go on with work whose caller has closed the connection");
+  add("help", "print this text");
+  return options;
+}
+
+BackendSettings
+SettingsOf(const cxxopts::ParseResult& aParsed)
+{
+  const auto list = [&](const char* aName) {
+    return aParsed.count(aName) > 0 ? aParsed[aName].as<std::vector<std::string>>()
+                                    : std::vector<std::string>{};
+  };
+  const auto milliseconds = [&](const char* aName) {
+    return std::chrono::milliseconds(aParsed[aName].as<std::uint64_t>());
+  };
+  BackendSettings settings;
+  settings.listen_ = Poco::Net::SocketAddress(aParsed["listen"].as<std::string>());
+  settings.slots_ = aParsed["slots"].as<std::uint64_t>();
+  if (aParsed.count("queue-limit") > 0) {
+    settings.queueLimit_ = aParsed["queue-limit"].as<std::uint64_t>();
+  }
+  if (aParsed.count("node") > 0) {
+    settings.node_ = Poco::Net::SocketAddress(aParsed["node"].as<std::string>());
+  }
+  if (aParsed.count("plan") > 0) {
+    settings.plan_ = ReadPlan(aParsed["plan"].as<std::string>());
+  }
+  for (const std::string& text : list("kind")) {
+    const KindPlan kind = ParseKindPlan(text);
+    settings.plan_[kind.path_] = kind;
+  }
+  for (const std::string& text : list("once")) {
+    settings.oncePaths_.insert(NormalPath(text));
+  }
+  const std::string distribution = aParsed["distribution"].as<std::string>();
+  if (distribution != "exponential" && distribution != "constant") {
+    throw std::invalid_argument("--distribution: not exponential or constant: '" + distribution +
+                                "'");
+  }
+  settings.distribution_ =
+    distribution == "constant" ? Distribution::kConstant : Distribution::kExponential;
+  settings.coldStart_ = milliseconds("cold-start-ms");
+  settings.seed_ = aParsed["seed"].as<std::uint64_t>();
+  settings.peers_ = ParseServiceAddresses(list("peers"));
+  settings.callRetries_ = aParsed["call-retries"].as<std::uint64_t>();
+  settings.callTimeout_ = milliseconds("call-timeout-ms");
+  settings.keepAbandoned_ = aParsed.count("keep-abandoned") > 0;
+  return settings;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  cxxopts::Options options = DescribeOptions();
+  try {
+    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << '\n';
+      return 0;
+    }
+    const BackendSettings settings = SettingsOf(parsed);
+    StopOnSignals();
+    EventLoop loop;
+    const BackendServer server(loop, settings);
+    std::cout << "listening on " << settings.listen_.toString() << std::endl;
+    loop.Run();
+    return 0;
+  } catch (const Poco::Exception& error) {
+    std::cerr << "backend-server: " << error.displayText() << '\n';
+  } catch (const std::exception& error) {
+    std::cerr << "backend-server: " << error.what() << '\n';
+  }
+  return kExitBadSettings;
+}
--- /dev/null
+++ b/standins/load-generator/Caller.h
@@ -0,0 +1,113 @@
+/** \file
+ * An open-loop caller: sends each click at its scheduled time and follows it to its end.
+ */
+#pragma once
+
+#include "support/Report.h"
+
+#include "support/ArrivalSchedule.h"
+#include "support/HttpClient.h"
+#include "support/Text.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmarway {
+
+struct KindLoad
+{
+  /** "service/kind". */
+  std::string path_;
+  /** Clicks a second before any step. */
+  double rate_ = 0;
+  std::vector<RateStep> steps_;
+  /** Not idempotent: fetches a ticket first and repeats under it. */
+  bool once_ = false;
+};
+
+struct CallerSettings
+{
+  std::vector<KindLoad> kinds_;
+  /** Nodes that take the calls. */
+  std::vector<Poco::Net::SocketAddress> entries_;
+  /** Backend servers that are called directly instead, for baselines without nodes. */
+  ServiceAddresses direct_;
+  std::chrono::nanoseconds duration_{ 0 };
+  /** Repeats of a click after its first attempt. */
+  std::uint32_t retries_ = 0;
+  /** The same for kinds that run at most once. */
+  std::uint32_t onceRetries_ = 2;
+  /** Repeats at once and whatever the answer was, as F1 assumes. */
+  bool aggressive_ = false;
+  /** Of each attempt. */
+  std::chrono::milliseconds deadline_{ 1000 };
+  std::size_t connectionsPerEntry_ = 800;
+  std::uint64_t seed_ = 1;
+  std::string clickPrefix_ = "c";
+};
+
+class Caller
+{
+public:
+  /** Calls EventLoop::Stop() when the last click has ended. */
+  Caller(EventLoop& aLoop, CallerSettings aSettings);
+
+  Report TakeReport() { return std::move(report_); }
+
+private:
+  using Clock = EventLoop::Clock;
+
+  struct Click
+  {
+    std::string id_;
+    std::size_t kind_ = 0;
+    Clock::time_point scheduled_;
+    std::uint32_t attempt_ = 1;
+    /** Entries in a row that refused the connection. */
+    std::uint32_t refusedConnections_ = 0;
+    std::string ticket_;
+    /** Every attempt so far is known not to have run. */
+    bool provenNotRun_ = true;
+  };
+  using ClickNumber = std::uint64_t;
+
+  /** What the end of one attempt says about the click. */
+  struct AttemptEnd
+  {
+    Outcome outcome_ = Outcome::kFailed;
+    std::optional<std::chrono::duration<double>> retryAfter_;
+    std::string newTicket_;
+  };
+
+  void ScheduleNext(std::size_t aKind);
+  void Arrive(std::size_t aKind, Clock::time_point aScheduled);
+  void FetchTicket(ClickNumber aClick);
+  void SendAttempt(ClickNumber aClick);
+  void HandleResult(ClickNumber aClick, const CallResult& aResult);
+  AttemptEnd Judge(const Click& aClick, const CallResult& aResult);
+  void Repeat(ClickNumber aClick, const AttemptEnd& aEnd);
+  bool MayRepeat(const Click& aClick, const AttemptEnd& aEnd) const;
+  void End(ClickNumber aClick, Outcome aOutcome);
+  void StopWhenDone();
+  const Poco::Net::SocketAddress& NextEntry(const Click& aClick);
+  const std::vector<Poco::Net::SocketAddress>& EntriesOf(const Click& aClick) const;
+  bool IsDirect(const Click& aClick) const;
+
+  EventLoop& loop_;
+  CallerSettings settings_;
+  HttpClient client_;
+  Clock::time_point start_;
+  std::vector<ArrivalSchedule> schedules_;
+  std::size_t openSchedules_ = 0;
+  ClickNumber nextClick_ = 1;
+  std::size_t nextEntry_ = 0;
+  std::mt19937_64 random_;
+  std::unordered_map<ClickNumber, Click> clicks_;
+  Report report_;
+};
+
+} // namespace fulmarway
--- /dev/null
+++ b/standins/load-generator/Main.cpp
@@ -0,0 +1,183 @@
+/** \file
+ * Stand-in for callers: sends an open-loop load and reports what came back.
+ */
+// Values such as --mix contain commas, so repeated options are not split at them.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+
+#include "Caller.h"
+
+#include <Poco/Exception.h>
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <stdexcept>
+
+using namespace fulmarway;
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+constexpr std::chrono::seconds kFetchTimeout{ 10 };
+
+std::chrono::nanoseconds
+Seconds(double aSeconds)
+{
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+cxxopts::Options
+DescribeOptions()
+{
+  cxxopts::Options options("load-generator", "Simulated callers with an open-loop load");
+  const auto text = [](const char* aDefault) {
+    return cxxopts::value<std::string>()->default_value(aDefault);
+  };
+  const auto list = [] { return cxxopts::value<std::vector<std::string>>(); };
+  const auto number = [](const char* aDefault) {
+    return cxxopts::value<std::uint64_t>()->default_value(aDefault);
+  };
+  auto add = options.add_options();
+  add("entries", "IP:PORT,... of the nodes that take the calls", text(""));
+  add("direct", "SERVICE=IP:PORT,... of backend servers that are called directly", list());
+  add("mix", "SERVICE/KIND=RATE,... in clicks a second", text(""));
+  add(
+    "step", "SECONDS:FACTOR[:SERVICE/KIND],... changes of the rate, of all kinds or one", text(""));
+  add("seconds", "length of the run", cxxopts::value<double>()->default_value("10"));
+  add("retries", "repeats of a click", number("0"));
+  add("once", "SERVICE/KIND that runs at most once and needs a ticket", list());
+  add("once-retries", "repeats of a click of such a kind", number("2"));
+  add("aggressive", "repeat at once, without regard to Retry-After");
+  add("deadline-ms", "of each attempt", number("1000"));
+  add("connections", "largest number for each entry", number("800"));
+  add("seed", "seed of the arrivals", number("1"));
+  add("click-prefix", "start of the click ids", text("c"));
+  add("check", "IP:PORT,... of the backend servers whose executions are checked", text(""));
+  add("check-once", "SERVICE/KIND of deeper calls that run at most once", list());
+  add("json", "print JSON instead of lines");
+  add("help", "print this text");
+  return options;
+}
+
+std::vector<std::string>
+ListOf(const cxxopts::ParseResult& aParsed, const char* aName)
+{
+  return aParsed.count(aName) > 0 ? aParsed[aName].as<std::vector<std::string>>()
+                                  : std::vector<std::string>{};
+}
+
+void
+AddSteps(std::string_view aText, std::vector<KindLoad>& aKinds)
+{
+  for (const std::string& text : Split(aText, ',')) {
+    const std::vector<std::string> parts = Split(text, ':');
+    if (parts.size() < 2 || parts.size() > 3) {
+      throw std::invalid_argument("--step: not SECONDS:FACTOR[:KIND]: '" + text + "'");
+    }
+    for (KindLoad& kind : aKinds) {
+      if (parts.size() == 2 || parts[2] == kind.path_) {
+        kind.steps_.push_back({ Seconds(ParseNumber(parts[0])), ParseNumber(parts[1]) });
+      }
+    }
+  }
+  for (KindLoad& kind : aKinds) {
+    std::ranges::stable_sort(kind.steps_, {}, &RateStep::at_);
+  }
+}
+
+CallerSettings
+SettingsOf(const cxxopts::ParseResult& aParsed)
+{
+  CallerSettings settings;
+  const std::vector<std::string> once = ListOf(aParsed, "once");
+  for (const std::string& text : Split(aParsed["mix"].as<std::string>(), ',')) {
+    const auto [path, rate] = SplitPair(text);
+    settings.kinds_.push_back(
+      { path, ParseNumber(rate), {}, std::ranges::find(once, path) != once.end() });
+  }
+  AddSteps(aParsed["step"].as<std::string>(), settings.kinds_);
+  settings.entries_ = ParseAddresses(aParsed["entries"].as<std::string>());
+  settings.direct_ = ParseServiceAddresses(ListOf(aParsed, "direct"));
+  for (const KindLoad& kind : settings.kinds_) {
+    const auto found = settings.direct_.find(kind.path_.substr(0, kind.path_.find('/')));
+    if (settings.entries_.empty() && found == settings.direct_.end()) {
+      throw std::invalid_argument("no --entries or --direct for '" + kind.path_ + "'");
+    }
+  }
+  settings.duration_ = Seconds(aParsed["seconds"].as<double>());
+  settings.retries_ = static_cast<std::uint32_t>(aParsed["retries"].as<std::uint64_t>());
+  settings.onceRetries_ = static_cast<std::uint32_t>(aParsed["once-retries"].as<std::uint64_t>());
+  settings.aggressive_ = aParsed.count("aggressive") > 0;
+  settings.deadline_ = std::chrono::milliseconds(aParsed["deadline-ms"].as<std::uint64_t>());
+  settings.connectionsPerEntry_ = aParsed["connections"].as<std::uint64_t>();
+  settings.seed_ = aParsed["seed"].as<std::uint64_t>();
+  settings.clickPrefix_ = aParsed["click-prefix"].as<std::string>();
+  return settings;
+}
+
+/** The execution lines of all backend servers. Throws std::runtime_error when one does not answer,
+ * since the check would pass without its data. */
+std::string
+FetchExecutions(const std::vector<Poco::Net::SocketAddress>& aBackends)
+{
+  EventLoop loop;
+  HttpClient client(loop, {});
+  std::string lines;
+  std::size_t open = aBackends.size();
+  std::string missing;
+  for (const Poco::Net::SocketAddress& address : aBackends) {
+    HttpMessage request;
+    request.target_ = "/executions/all";
+    client.Send(address, request, kFetchTimeout, [&](const CallResult& aResult) {
+      if (aResult.response_ && aResult.response_->status_ == 200) {
+        lines += aResult.response_->body_;
+      } else {
+        missing = address.toString();
+      }
+      if (--open == 0) {
+        loop.Stop();
+      }
+    });
+  }
+  if (open > 0) {
+    loop.Run();
+  }
+  if (!missing.empty() || open > 0) {
+    throw std::runtime_error("no executions from backend server " + missing);
+  }
+  return lines;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  cxxopts::Options options = DescribeOptions();
+  try {
+    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << '\n';
+      return 0;
+    }
+    StopOnSignals();
+    EventLoop loop;
+    Caller caller(loop, SettingsOf(parsed));
+    loop.Run();
+    const Report report = caller.TakeReport();
+    std::vector<std::string> oncePaths = ListOf(parsed, "once");
+    for (const std::string& path : ListOf(parsed, "check-once")) {
+      oncePaths.push_back(path);
+    }
+    const std::string executions =
+      FetchExecutions(ParseAddresses(parsed["check"].as<std::string>()));
+    const ExecutionReport checked = CheckExecutions(report, executions, oncePaths);
+    std::cout << (parsed.count("json") > 0 ? ToJson(report, checked) : ToLines(report, checked));
+    return 0;
+  } catch (const Poco::Exception& error) {
+    std::cerr << "load-generator: " << error.displayText() << '\n';
+  } catch (const std::exception& error) {
+    std::cerr << "load-generator: " << error.what() << '\n';
+  }
+  return kExitBadSettings;
+}
--- /dev/null
+++ b/standins/support/HttpServer.h
@@ -0,0 +1,58 @@
+/** \file
+ * An HTTP/1.1 server on the event loop: many connections, one exchange at a time on each.
+ */
+#pragma once
+
+#include "support/Connection.h"
+#include "support/HttpMessage.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace fulmarway {
+
+class HttpServer
+{
+public:
+  using ExchangeId = std::uint64_t;
+  struct Handlers
+  {
+    std::function<void(ExchangeId, HttpMessage)> onRequest_;
+    /** The client closed the connection before the response. */
+    std::function<void(ExchangeId)> onAbandoned_;
+  };
+
+  HttpServer(EventLoop& aLoop, const Poco::Net::SocketAddress& aAddress, Handlers aHandlers);
+  ~HttpServer();
+
+  /** Does nothing when the exchange was abandoned. */
+  void Respond(ExchangeId aExchange, const HttpMessage& aResponse);
+  /** Closes the connection of an exchange without a response. */
+  void Drop(ExchangeId aExchange);
+
+private:
+  struct Client
+  {
+    std::unique_ptr<Connection> connection_;
+    /** 0 while no request is in progress. */
+    ExchangeId exchange_ = 0;
+  };
+
+  void Accept();
+  void HandleInput(std::uint64_t aClient, bool aClosed);
+  /** Starts the next exchange when a whole request has arrived. */
+  void StartExchange(std::uint64_t aClient);
+  void Remove(std::uint64_t aClient);
+
+  EventLoop& loop_;
+  Poco::Net::ServerSocket socket_;
+  Handlers handlers_;
+  std::uint64_t nextId_ = 1;
+  std::unordered_map<std::uint64_t, Client> clients_;
+  std::unordered_map<ExchangeId, std::uint64_t> clientOfExchange_;
+};
+
+} // namespace fulmarway
--- /dev/null
+++ b/standins/tests/HttpMessageTest.cpp
@@ -0,0 +1,54 @@
+/** \file
+ * Guards against messages that are taken before they are whole, or joined with the next one.
+ */
+#include "support/HttpMessage.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+
+Test(http_message, message_is_taken_only_when_whole)
+{
+  HttpMessage request;
+  request.method_ = "POST";
+  request.target_ = "/s/k?x=1";
+  request.headers_ = { { "Fulmarway-Click", "c-1" } };
+  request.body_ = "some body";
+  const std::string text = FormatRequest(request, "127.0.0.1:1");
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    std::string part = text.substr(0, length);
+    const auto taken = TakeRequest(part);
+    cr_assert(taken.has_value() && !taken->has_value(), "taken after %zu bytes", length);
+  }
+  std::string two = text + text;
+  const auto taken = TakeRequest(two);
+  cr_assert(taken.has_value() && taken->has_value());
+  cr_assert_eq((*taken)->target_, request.target_);
+  cr_assert_eq((*taken)->body_, request.body_);
+  cr_assert_eq(FindHeader(**taken, "fulmarway-click").value_or(""), "c-1");
+  cr_assert_eq(two, text);
+}
+
+Test(http_message, responses_keep_status_and_headers)
+{
+  HttpMessage response;
+  response.status_ = 503;
+  response.headers_ = { { "Retry-After", "0.25" } };
+  std::string text = FormatResponse(response);
+  const auto taken = TakeResponse(text);
+  cr_assert(taken.has_value() && taken->has_value());
+  cr_assert_eq((*taken)->status_, 503);
+  cr_assert_float_eq(FindNumber(**taken, "Retry-After").value_or(-1), 0.25, 1e-9);
+  cr_assert(text.empty());
+}
+
+Test(http_message, malformed_heads_and_chunked_bodies_are_refused)
+{
+  for (const std::string head : { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                                  "HTTP/1.1 abc OK\r\n\r\n" }) {
+    std::string text = head;
+    cr_assert_not(TakeResponse(text).has_value(), "accepted %s", head.c_str());
+  }
+  std::string endless(100000, 'x');
+  cr_assert_not(TakeRequest(endless).has_value());
+}
