Move the stand-ins into their own namespace

packages/node has classes named HttpServer and HttpClient as well; a stand-in that links both would break the one-definition rule. 25 tests pass.

--- a/standins/backend-server/BackendServer.cpp
+++ b/standins/backend-server/BackendServer.cpp
@@ -5,7 +5,7 @@
 #include <Poco/URI.h>
 #include <algorithm>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -311,4 +311,4 @@
   }
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/backend-server/BackendServer.h
+++ b/standins/backend-server/BackendServer.h
@@ -17,7 +17,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 struct BackendSettings
 {
@@ -99,4 +99,4 @@
   std::size_t nextPeer_ = 0;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/backend-server/Ledger.cpp
+++ b/standins/backend-server/Ledger.cpp
@@ -4,7 +4,7 @@
 
 #include <sstream>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 std::uint64_t
 Ledger::NoteStart(const std::string& aPath, const std::string& aClick)
@@ -86,4 +86,4 @@
   return text.str();
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/backend-server/Ledger.h
+++ b/standins/backend-server/Ledger.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <utility>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** All executions of one kind for one click. */
 struct Execution
@@ -60,4 +60,4 @@
   std::map<std::string, std::map<std::string, Execution>> executions_;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/backend-server/Main.cpp
+++ b/standins/backend-server/Main.cpp
@@ -10,7 +10,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 
 namespace {
 
--- a/standins/backend-server/Plan.cpp
+++ b/standins/backend-server/Plan.cpp
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <stdexcept>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 KindPlan
 ParseKindPlan(std::string_view aText)
@@ -84,4 +84,4 @@
   return parts[0] + "/" + parts[1];
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/backend-server/Plan.h
+++ b/standins/backend-server/Plan.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 struct KindPlan
 {
@@ -58,4 +58,4 @@
 std::string
 NormalPath(std::string_view aPath);
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/load-generator/Caller.cpp
+++ b/standins/load-generator/Caller.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -293,4 +293,4 @@
   }
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/load-generator/Caller.h
+++ b/standins/load-generator/Caller.h
@@ -16,7 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 struct KindLoad
 {
@@ -110,4 +110,4 @@
   Report report_;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/load-generator/Main.cpp
+++ b/standins/load-generator/Main.cpp
@@ -12,7 +12,7 @@
 #include <iostream>
 #include <stdexcept>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 
 namespace {
 
--- a/standins/support/AnswerBody.cpp
+++ b/standins/support/AnswerBody.cpp
@@ -4,7 +4,7 @@
 
 #include <sstream>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -68,4 +68,4 @@
                                                             : AnswerCheck::kForeign;
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/AnswerBody.h
+++ b/standins/support/AnswerBody.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** What the body of one answer says about itself. */
 struct AnswerStamp
@@ -39,4 +39,4 @@
 AnswerCheck
 CheckAnswerBody(std::string_view aBody, std::string_view aClickId, std::string_view aPath);
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/ArrivalSchedule.cpp
+++ b/standins/support/ArrivalSchedule.cpp
@@ -2,7 +2,7 @@
 
 #include "support/Random.h"
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -44,4 +44,4 @@
   return std::nullopt;
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/ArrivalSchedule.h
+++ b/standins/support/ArrivalSchedule.h
@@ -9,7 +9,7 @@
 #include <random>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** From `at_` on, the base rate is multiplied by `factor_`. */
 struct RateStep
@@ -45,4 +45,4 @@
   double factor_ = 1;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Connection.cpp
+++ b/standins/support/Connection.cpp
@@ -5,7 +5,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -110,4 +110,4 @@
   }
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Connection.h
+++ b/standins/support/Connection.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <string>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** Reads whatever arrives into input() and writes what Write() was given. */
 class Connection
@@ -47,4 +47,4 @@
   std::uint32_t events_ = 0;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/EventLoop.cpp
+++ b/standins/support/EventLoop.cpp
@@ -9,7 +9,7 @@
 #include <system_error>
 #include <unistd.h>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -164,4 +164,4 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/EventLoop.h
+++ b/standins/support/EventLoop.h
@@ -11,7 +11,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** Poco::Net::PollSet rounds timeouts to milliseconds, which is too coarse to measure an added
  * latency of 1.3 ms. */
@@ -66,4 +66,4 @@
 void
 StopOnSignals();
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Histogram.cpp
+++ b/standins/support/Histogram.cpp
@@ -4,7 +4,7 @@
 #include <bit>
 #include <cmath>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -64,4 +64,4 @@
   return max_;
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Histogram.h
+++ b/standins/support/Histogram.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** Buckets are exact below 64 us and at most 1/32 of their value wide above, so that a percentile
  * is off by at most 3.2% upwards. */
@@ -31,4 +31,4 @@
   Microseconds max_{ 0 };
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/HttpClient.cpp
+++ b/standins/support/HttpClient.cpp
@@ -3,7 +3,7 @@
 #include <Poco/Exception.h>
 #include <algorithm>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 HttpClient::HttpClient(EventLoop& aLoop, Limits aLimits)
   : loop_(aLoop)
@@ -163,4 +163,4 @@
   connections_.erase(found);
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/HttpClient.h
+++ b/standins/support/HttpClient.h
@@ -15,7 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 enum class CallFailure : std::uint8_t
 {
@@ -98,4 +98,4 @@
   std::map<Poco::Net::SocketAddress, Target> targets_;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/HttpMessage.cpp
+++ b/standins/support/HttpMessage.cpp
@@ -7,7 +7,7 @@
 #include <charconv>
 #include <sstream>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -133,4 +133,4 @@
   return text;
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/HttpMessage.h
+++ b/standins/support/HttpMessage.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** A request or a response. */
 struct HttpMessage
@@ -49,4 +49,4 @@
 std::string
 FormatResponse(const HttpMessage& aMessage);
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/HttpServer.cpp
+++ b/standins/support/HttpServer.cpp
@@ -3,7 +3,7 @@
 #include <Poco/Net/NetException.h>
 #include <sys/epoll.h>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -110,4 +110,4 @@
   clients_.erase(found);
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/HttpServer.h
+++ b/standins/support/HttpServer.h
@@ -12,7 +12,7 @@
 #include <memory>
 #include <unordered_map>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 class HttpServer
 {
@@ -55,4 +55,4 @@
   std::unordered_map<ExchangeId, std::uint64_t> clientOfExchange_;
 };
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Random.cpp
+++ b/standins/support/Random.cpp
@@ -2,7 +2,7 @@
 
 #include <cmath>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 double
 DrawUniform(std::mt19937_64& aRandom)
@@ -18,4 +18,4 @@
   return -std::log1p(-DrawUniform(aRandom)) * aMean;
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Random.h
+++ b/standins/support/Random.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <random>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** Uniform in [0, 1). */
 double
@@ -16,4 +16,4 @@
 double
 DrawExponential(std::mt19937_64& aRandom, double aMean);
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Report.cpp
+++ b/standins/support/Report.cpp
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <utility>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 namespace {
 
@@ -206,4 +206,4 @@
          ",\"wholeClicks\":" + ClickList(aReport, whole) + "}\n";
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Report.h
+++ b/standins/support/Report.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** How a click ended, after all its attempts. */
 enum class Outcome : std::uint8_t
@@ -89,4 +89,4 @@
 std::string
 ToJson(const Report& aReport, const ExecutionReport& aExecutions);
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Text.cpp
+++ b/standins/support/Text.cpp
@@ -4,7 +4,7 @@
 #include <cstdio>
 #include <stdexcept>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 std::vector<std::string>
 Split(std::string_view aText, char aSeparator)
@@ -81,4 +81,4 @@
   return escaped;
 }
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/support/Text.h
+++ b/standins/support/Text.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace fulmarway {
+namespace fulmarway::standins {
 
 /** Service name to the addresses of its backend servers. */
 using ServiceAddresses = std::map<std::string, std::vector<Poco::Net::SocketAddress>>;
@@ -37,4 +37,4 @@
 std::string
 EscapeJson(std::string_view aText);
 
-} // namespace fulmarway
+} // namespace fulmarway::standins
--- a/standins/tests/AnswerBodyTest.cpp
+++ b/standins/tests/AnswerBodyTest.cpp
@@ -6,7 +6,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 
 namespace {
 
--- a/standins/tests/ArrivalScheduleTest.cpp
+++ b/standins/tests/ArrivalScheduleTest.cpp
@@ -9,7 +9,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 using namespace std::chrono_literals;
 using Times = std::vector<std::chrono::nanoseconds>;
 
--- a/standins/tests/ExecutionCheckTest.cpp
+++ b/standins/tests/ExecutionCheckTest.cpp
@@ -5,7 +5,7 @@
 
 #include <criterion/criterion.h>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 
 namespace {
 
--- a/standins/tests/HistogramTest.cpp
+++ b/standins/tests/HistogramTest.cpp
@@ -8,7 +8,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 using std::chrono::microseconds;
 
 Test(histogram, empty_histogram_reports_zero)
--- a/standins/tests/HttpMessageTest.cpp
+++ b/standins/tests/HttpMessageTest.cpp
@@ -5,7 +5,7 @@
 
 #include <criterion/criterion.h>
 
-using namespace fulmarway;
+using namespace fulmarway::standins;
 
 Test(http_message, message_is_taken_only_when_whole)
 {
