--- a/packages/node/TcpChannel.cpp
+++ b/packages/node/TcpChannel.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-TcpChannel::TcpChannel(Poco::Net::StreamSocket aSocket)
-  : socket_(std::move(aSocket))
+TcpChannel::TcpChannel(const Poco::Net::StreamSocket& aSocket)
+  : socket_(aSocket)
 {
   Prepare(socket_);
 }
--- a/packages/node/TcpChannel.h
+++ b/packages/node/TcpChannel.h
@@ -21,7 +21,7 @@
 {
 public:
   /** Takes an accepted connection. */
-  explicit TcpChannel(Poco::Net::StreamSocket aSocket);
+  explicit TcpChannel(const Poco::Net::StreamSocket& aSocket);
 
   /** Starts to connect; a failure shows at the first Flush() or Read(). */
   explicit TcpChannel(const Poco::Net::SocketAddress& aAddress);
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -68,7 +68,7 @@
   CallerReply reply;
   reply.outcome_ = { Verdict::kRan, Reason::kNone, std::nullopt };
   reply.answer_ = Answer{ 200, "text/plain", FormatTicket(*ticket) + "\n" };
-  reply.ticket_ = std::move(ticket);
+  reply.ticket_ = ticket;
   aContext.effects_.push_back(ReplyToCaller{ aEvent.exchange_, std::move(reply) });
 }
 
@@ -155,7 +155,7 @@
   const CallerRequest& request = aEvent.request_;
   auto ticket = IssueTicketFor(aState, aContext, request.service_, request.kind_);
   const Reason reason = ticket ? Reason::kTicketNeeded : Reason::kNoBackendServer;
-  RefuseRequest(aState, aContext, aEvent, NotRun(reason), std::move(ticket));
+  RefuseRequest(aState, aContext, aEvent, NotRun(reason), ticket);
 }
 
 /** Whether the caller's repeat is refused; the verdict is about the ticket when there is one. */
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -203,7 +203,7 @@
   CallerReply reply;
   reply.outcome_ = aRefusal;
   reply.clickId_ = request.clickId_.value_or("");
-  reply.ticket_ = std::move(aFreshTicket);
+  reply.ticket_ = aFreshTicket;
   aContext.effects_.push_back(ReplyToCaller{ aEvent.exchange_, std::move(reply) });
 }
 
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -199,7 +199,7 @@
   if (!*framed) {
     return std::nullopt;
   }
-  HttpRequestMessage message{ std::move(*head), std::move((*framed)->body_) };
+  HttpRequestMessage message{ *head, std::move((*framed)->body_) };
   aBuffer.erase(0, (*framed)->end_);
   return message;
 }
@@ -227,7 +227,7 @@
   if (!*framed) {
     return std::nullopt;
   }
-  HttpResponseMessage message{ std::move(*head), std::move((*framed)->body_) };
+  HttpResponseMessage message{ *head, std::move((*framed)->body_) };
   aBuffer.erase(0, (*framed)->end_);
   return message;
 }
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -161,6 +161,12 @@
   aHead.set(header::kRetryAfterMs, std::to_string(milliseconds));
 }
 
+void
+SetStatus(std::uint16_t aStatus, HTTPResponse& aHead)
+{
+  aHead.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(aStatus));
+}
+
 std::uint16_t
 StatusOfNotRun(Reason aReason)
 {
@@ -249,13 +255,13 @@
     SetRetryAfter(*outcome.retryAfter_, aHead);
   }
   if (aReply.answer_) {
-    aHead.setStatus(static_cast<HTTPResponse::HTTPStatus>(aReply.answer_->status_));
+    SetStatus(aReply.answer_->status_, aHead);
     if (!aReply.answer_->contentType_.empty()) {
       aHead.setContentType(aReply.answer_->contentType_);
     }
     return aReply.answer_->body_;
   }
-  aHead.setStatus(static_cast<HTTPResponse::HTTPStatus>(StatusOf(outcome)));
+  SetStatus(StatusOf(outcome), aHead);
   aHead.setContentType("text/plain");
   return Explain(outcome);
 }
@@ -263,7 +269,7 @@
 std::string
 FormatInvalidRequest(const InvalidRequest& aInvalid, HTTPResponse& aHead)
 {
-  aHead.setStatus(static_cast<HTTPResponse::HTTPStatus>(aInvalid.status_));
+  SetStatus(aInvalid.status_, aHead);
   aHead.set(header::kVerdict, std::string(ToString(Verdict::kNotRun)));
   aHead.set(header::kReason, std::string(ToString(Reason::kInvalidRequest)));
   aHead.setContentType("text/plain");
