--- /dev/null
+++ b/packages/policy/tests/Session.h
@@ -0,0 +1,181 @@
+/** \file
+ * Small fakes around the reducers of a few nodes: callers, backend servers, the log service and the
+ * network between them, all in virtual time and with a fixed seed.
+ */
+#pragma once
+
+#include "policy/Reducer.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarway::session {
+
+using NodeIndex = std::size_t;
+
+/** A reply that a caller got, or would have got. */
+struct CallerOutcome
+{
+  CallerReply reply_;
+  Instant at_;
+};
+
+struct NodeOptions
+{
+  std::string service_;
+  std::string domain_;
+  std::string region_ = "west";
+};
+
+class Session
+{
+public:
+  explicit Session(std::uint64_t aSeed);
+
+  /** Adds a node with a healthy backend server. All nodes know the first as a seed. */
+  NodeIndex AddNode(const NodeOptions& aOptions);
+
+  /** Advances virtual time. */
+  void Run(Duration aTime);
+
+  ExchangeId Call(NodeIndex aEntry, CallerRequest aRequest);
+
+  /** Sends an operator's command; the outcome is in the transcript and in CommandReplies(). */
+  ExchangeId Operate(NodeIndex aNode,
+                     const Command& aCommand,
+                     std::uint64_t aBaseVersion = 0,
+                     const std::string& aOperator = "operator");
+
+  /** Declares service "orders" with kinds lookup (idempotent) and confirm (critical, once). */
+  void DeclareOrders(NodeIndex aNode);
+
+  /** A ticket for orders/confirm from a node, without going through its event loop. */
+  Ticket TicketFrom(NodeIndex aEntry);
+
+  // Faults.
+  void Cut(const std::string& aDomain, bool aIsCut);
+  void Pause(NodeIndex aNode, bool aIsPaused);
+  void Kill(NodeIndex aNode);
+  void Restart(NodeIndex aNode);
+  void Stop(NodeIndex aNode);
+  void SetLogDown(bool aIsDown) { logDown_ = aIsDown; }
+  void LoseAppendAnswers(int aCount) { lostAppendAnswers_ = aCount; }
+  /** All connections to the node go silent; new ones work. */
+  void SilenceConnectionsTo(NodeIndex aNode);
+  /** Bytes that were sent to the backend server are lost with the connection. */
+  void BreakBackend(NodeIndex aNode);
+  void SetServiceTime(NodeIndex aNode, Duration aTime);
+
+  const NodeState& State(NodeIndex aNode) const { return nodes_.at(aNode).state_; }
+  bool HasExited(NodeIndex aNode) const { return nodes_.at(aNode).exited_; }
+  const std::map<ExchangeId, CallerOutcome>& Replies() const { return replies_; }
+  std::optional<CallerReply> ReplyTo(ExchangeId aExchange) const;
+  const std::map<ExchangeId, CommandReply>& CommandReplies() const { return commandReplies_; }
+  /** How often each click reached a backend server with a kind. */
+  int Executions(const std::string& aClick, const std::string& aKind) const;
+  /** When the node's backend server last got a new request. */
+  std::optional<Instant> LastStart(NodeIndex aNode) const { return nodes_.at(aNode).lastStart_; }
+  Instant Now() const { return now_; }
+  const std::string& Transcript() const { return transcript_; }
+  void Note(const std::string& aLine);
+
+private:
+  struct Link
+  {
+    NodeIndex from_ = 0;
+    NodeIndex to_ = 0;
+    bool silent_ = false;
+    std::set<AttemptId> open_;
+    std::optional<Instant> stalledSince_;
+  };
+
+  struct FakeNode
+  {
+    NodeOptions options_;
+    NodeState state_;
+    std::uint64_t runs_ = 0;
+    bool paused_ = false;
+    bool alive_ = true;
+    bool exited_ = false;
+    Duration serviceTime_ = std::chrono::milliseconds(10);
+    std::map<RequestId, BackendRequest> working_;
+    std::optional<Instant> lastStart_;
+    /** Events that arrive while the node is paused. */
+    std::vector<EventBody> held_;
+  };
+
+  struct Scheduled
+  {
+    Instant at_;
+    std::uint64_t order_ = 0;
+    NodeIndex node_ = 0;
+    std::uint64_t run_ = 0;
+    EventBody body_;
+
+    bool operator<(const Scheduled& aOther) const
+    {
+      return std::tie(at_, order_) > std::tie(aOther.at_, aOther.order_);
+    }
+  };
+
+  static std::string AddressOf(NodeIndex aNode);
+  std::optional<NodeIndex> FindByAddress(const std::string& aAddress) const;
+  bool CanReach(NodeIndex aFrom, NodeIndex aTo) const;
+  NodeSettings MakeSettings(NodeIndex aNode);
+  void Start(NodeIndex aNode);
+  void Schedule(Duration aDelay, NodeIndex aNode, EventBody aBody);
+  void Deliver(NodeIndex aNode, EventBody aBody);
+  void LoseLink(LinkId aLink, bool aWritten);
+  void CheckLinks();
+
+  void Run(NodeIndex aNode, const SendToPeer& aEffect);
+  void Run(NodeIndex aNode, const SendToLink& aEffect);
+  void Run(NodeIndex aNode, const SendGossip& aEffect);
+  void Run(NodeIndex aNode, const ReplyToCaller& aEffect);
+  void Run(NodeIndex aNode, const CallBackend& aEffect);
+  void Run(NodeIndex aNode, const CancelBackend& aEffect);
+  void Run(NodeIndex aNode, const ReadLog& aEffect);
+  void Run(NodeIndex aNode, const AppendLog& aEffect);
+  void Run(NodeIndex aNode, const ReplyToCommand& aEffect);
+  void Run(NodeIndex aNode, const ReplyInForce& aEffect);
+  void Run(NodeIndex aNode, const LogLine& aEffect);
+  void Run(NodeIndex aNode, const StopAccepting& aEffect);
+  void Run(NodeIndex aNode, const ExitProcess& aEffect);
+
+  Instant now_{ std::chrono::seconds(1000) };
+  Instant nextTick_;
+  RandomStream random_;
+  std::uint64_t nextOrder_ = 1;
+  std::uint64_t nextExchange_ = 1;
+  std::uint64_t nextLink_ = 1;
+  std::vector<FakeNode> nodes_;
+  std::priority_queue<Scheduled> queue_;
+  std::map<LinkId, Link> links_;
+  std::set<std::string> cutDomains_;
+  std::vector<LogRecord> log_;
+  bool logDown_ = false;
+  int lostAppendAnswers_ = 0;
+  std::map<ExchangeId, CallerOutcome> replies_;
+  std::map<ExchangeId, CommandReply> commandReplies_;
+  std::map<std::pair<std::string, std::string>, int> executions_;
+  std::string transcript_;
+};
+
+/** A request of a caller to orders/lookup or orders/confirm. */
+CallerRequest
+MakeCallerRequest(const std::string& aKind, const std::string& aClick);
+
+CallerRequest
+MakeConfirm(const std::string& aClick, const Ticket& aTicket, std::uint32_t aAttempt = 1);
+
+/** Compares the transcript with tests/golden/NAME.txt; rewrites it when FULMARWAY_UPDATE_GOLDEN is
+ * set. */
+void
+CheckGolden(const Session& aSession, const std::string& aName);
+
+} // namespace fulmarway::session
