Test the ticket table and bound its work per event

Cause: the first version closed a whole epoch when the table was full, dropped a whole epoch of expired tickets in one event, and had no tests.

Changes: - A full table closes one of 64 buckets of the ticket's epoch instead of the epoch.

--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -124,6 +124,15 @@
   bool operator==(const HandedTicket&) const = default;
 };
 
+/** Part of the tickets of one epoch, see EpochTickets::closedBuckets_. */
+struct ClosedBuckets
+{
+  std::uint32_t epoch_ = 0;
+  std::uint64_t buckets_ = 0;
+
+  bool operator==(const ClosedBuckets&) const = default;
+};
+
 /** All tickets of one incarnation. */
 struct HandedTable
 {
@@ -132,9 +141,9 @@
   /** The executor's epoch when the message was made. */
   std::uint32_t epoch_ = 0;
   std::vector<HandedTicket> tickets_;
-  /** Epochs in which tickets were refused as not run because the table was full. Their tickets that
-   * are not listed never run. */
-  std::vector<std::uint32_t> closedEpochs_;
+  /** Tickets of these buckets that are not listed never run: one of them was refused as not run
+   * when the table was full. */
+  std::vector<ClosedBuckets> closed_;
 
   bool operator==(const HandedTable&) const = default;
 };
--- a/packages/policy/ExecutorTickets.cpp
+++ b/packages/policy/ExecutorTickets.cpp
@@ -1,6 +1,7 @@
 #include "policy/ExecutorTickets.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace fulmarway {
@@ -39,24 +40,44 @@
   return entry == epoch->second.entries_.end() ? nullptr : &entry->second;
 }
 
+void
+AddEntry(ExecutorTickets& aTickets, const Ticket& aTicket, std::uint64_t aDigest)
+{
+  TicketEntry entry;
+  entry.digest_ = aDigest;
+  aTickets.epochs_[aTicket.epoch_].entries_.emplace(KeyOf(aTicket), entry);
+}
+
 std::size_t
-DropExpired(ExecutorTickets& aTickets, RememberedAnswers& aAnswers, std::uint32_t aWindowEpochs)
+DropExpired(ExecutorTickets& aTickets,
+            RememberedAnswers& aAnswers,
+            std::uint32_t aWindowEpochs,
+            std::size_t aBudget)
 {
   std::size_t dropped = 0;
   auto epoch = aTickets.epochs_.begin();
   while (epoch != aTickets.epochs_.end() &&
          IsExpired(epoch->first, aTickets.latestEpoch_, aWindowEpochs)) {
-    if (epoch->second.unfinished_ > 0) {
-      ++epoch;
-      continue;
-    }
-    for (const auto& [key, entry] : epoch->second.entries_) {
-      Forget(aAnswers, entry.answer_);
+    auto& entries = epoch->second.entries_;
+    for (auto item = entries.begin(); item != entries.end() && dropped < aBudget;) {
+      if (item->second.phase_ != TicketPhase::kFinished) {
+        ++item;
+        continue;
+      }
+      Forget(aAnswers, item->second.answer_);
+      item = entries.erase(item);
+      ++dropped;
     }
-    dropped += epoch->second.entries_.size();
-    epoch = aTickets.epochs_.erase(epoch);
+    epoch = entries.empty() ? aTickets.epochs_.erase(epoch) : std::next(epoch);
   }
   return dropped;
 }
 
+bool
+IsSpent(const ExecutorTickets& aTickets, std::uint32_t aWindowEpochs)
+{
+  return aTickets.epochs_.empty() &&
+         aTickets.latestEpoch_ > std::uint64_t{ aTickets.baseEpoch_ } + 1 + aWindowEpochs;
+}
+
 } // namespace fulmarway
--- a/packages/policy/ExecutorTickets.h
+++ b/packages/policy/ExecutorTickets.h
@@ -76,14 +76,23 @@
 struct EpochTickets
 {
   std::unordered_map<TicketKey, TicketEntry, TicketKeyHash> entries_;
-  std::size_t unfinished_ = 0;
-  /** Set when a ticket of this epoch was refused as not run because the table was full. That ticket
-   * has no entry, so no ticket of this epoch without an entry may run from then on. */
-  bool closed_ = false;
+  /** One bit for each bucket, see BucketOf(). The bit is set when a ticket of the bucket was
+   * refused as not run because the table was full. That ticket has no entry, so no ticket of the
+   * bucket without an entry may run from then on. Buckets keep a short shortage from closing the
+   * epoch. */
+  std::uint64_t closedBuckets_ = 0;
 
   bool operator==(const EpochTickets&) const = default;
 };
 
+/** The bit of a ticket's bucket in EpochTickets::closedBuckets_. */
+constexpr std::uint64_t
+BucketOf(const TicketKey& aKey)
+{
+  constexpr std::uint64_t kBuckets = 64;
+  return std::uint64_t{ 1 } << (aKey.mac_.low_ % kBuckets);
+}
+
 struct ExecutorTickets
 {
   /** The epoch at `since_`. */
@@ -97,6 +106,8 @@
   bool operator==(const ExecutorTickets&) const = default;
 };
 
+using ExecutorMap = std::unordered_map<ExecutorKey, ExecutorTickets, ExecutorKeyHash>;
+
 ExecutorKey
 ExecutorOf(const Ticket& aTicket);
 
@@ -118,9 +129,22 @@
   return std::uint64_t{ aEpoch } + aWindowEpochs < aCurrentEpoch;
 }
 
-/** Drops epochs that have expired and have no unfinished ticket, with their answers. Returns the
- * number of dropped entries. */
+/** Records a ticket that has no entry as queued. */
+void
+AddEntry(ExecutorTickets& aTickets, const Ticket& aTicket, std::uint64_t aDigest);
+
+/** Drops at most aBudget finished tickets of expired epochs, with their answers. Returns how many.
+ * Unfinished tickets stay until they are finished. */
 std::size_t
-DropExpired(ExecutorTickets& aTickets, RememberedAnswers& aAnswers, std::uint32_t aWindowEpochs);
+DropExpired(ExecutorTickets& aTickets,
+            RememberedAnswers& aAnswers,
+            std::uint32_t aWindowEpochs,
+            std::size_t aBudget);
+
+/** Whether every ticket of a stopped executor has expired and was dropped. An executor that has
+ * stopped issues no tickets after the epoch in which its table was handed over, and no other node
+ * is more than one epoch ahead. */
+bool
+IsSpent(const ExecutorTickets& aTickets, std::uint32_t aWindowEpochs);
 
 } // namespace fulmarway
--- a/packages/policy/TicketHandover.cpp
+++ b/packages/policy/TicketHandover.cpp
@@ -23,6 +23,43 @@
   return { aTable.executor_, aTable.incarnation_, aTable.epoch_, {}, {} };
 }
 
+/** All finished tickets of one executor, oldest epoch first. */
+HandedTable
+ToHandedTable(const ExecutorKey& aExecutor,
+              const ExecutorTickets& aTickets,
+              const RememberedAnswers& aAnswers)
+{
+  HandedTable table{ aExecutor.executor_, aExecutor.incarnation_, aTickets.latestEpoch_, {}, {} };
+  for (const auto& [epoch, tickets] : aTickets.epochs_) {
+    if (tickets.closedBuckets_ != 0) {
+      table.closed_.push_back({ epoch, tickets.closedBuckets_ });
+    }
+    for (const auto& [key, entry] : tickets.entries_) {
+      HandedTicket handed{
+        { aExecutor.executor_, aExecutor.incarnation_, epoch, key.nonce_, key.mac_ },
+        entry.digest_,
+        entry.fate_,
+        entry.reason_,
+        {}
+      };
+      if (handed.fate_ == TicketFate::kAnswered) {
+        if (auto answer = Recall(aAnswers, entry.answer_)) {
+          handed.answer_ = std::move(*answer);
+        } else {
+          handed.fate_ = TicketFate::kAnsweredNotKept;
+        }
+      }
+      table.tickets_.push_back(std::move(handed));
+    }
+  }
+  std::sort(table.tickets_.begin(),
+            table.tickets_.end(),
+            [](const HandedTicket& aLeft, const HandedTicket& aRight) {
+              return aLeft.ticket_ < aRight.ticket_;
+            });
+  return table;
+}
+
 } // namespace
 
 PartOutcome
@@ -84,8 +121,7 @@
         joined.try_emplace({ table.executor_, table.incarnation_ }, WithoutTickets(table))
           .first->second;
       std::move(table.tickets_.begin(), table.tickets_.end(), std::back_inserter(whole.tickets_));
-      whole.closedEpochs_.insert(
-        whole.closedEpochs_.end(), table.closedEpochs_.begin(), table.closedEpochs_.end());
+      std::move(table.closed_.begin(), table.closed_.end(), std::back_inserter(whole.closed_));
     }
   }
   std::vector<HandedTable> tables;
@@ -103,58 +139,54 @@
   });
 }
 
-HandedTable
-ToHandedTable(const ExecutorKey& aExecutor,
-              const ExecutorTickets& aTickets,
-              const RememberedAnswers& aAnswers)
+ExecutorTickets
+FromHandedTable(const HandedTable& aTable,
+                RememberedAnswers& aAnswers,
+                const AnswerLimits& aLimits,
+                Instant aNow)
 {
-  HandedTable table{ aExecutor.executor_, aExecutor.incarnation_, aTickets.latestEpoch_, {}, {} };
-  for (const auto& [epoch, tickets] : aTickets.epochs_) {
-    if (tickets.closed_) {
-      table.closedEpochs_.push_back(epoch);
-    }
-    for (const auto& [key, entry] : tickets.entries_) {
-      HandedTicket handed{
-        { aExecutor.executor_, aExecutor.incarnation_, epoch, key.nonce_, key.mac_ },
-        entry.digest_,
-        entry.fate_,
-        entry.reason_,
-        {}
-      };
-      if (handed.fate_ == TicketFate::kAnswered) {
-        if (auto answer = Recall(aAnswers, entry.answer_)) {
-          handed.answer_ = std::move(*answer);
-        } else {
-          handed.fate_ = TicketFate::kAnsweredNotKept;
-        }
-      }
-      table.tickets_.push_back(std::move(handed));
+  ExecutorTickets tickets;
+  tickets.baseEpoch_ = aTable.epoch_;
+  tickets.latestEpoch_ = aTable.epoch_;
+  tickets.since_ = aNow;
+  for (const ClosedBuckets& closed : aTable.closed_) {
+    tickets.epochs_[closed.epoch_].closedBuckets_ |= closed.buckets_;
+  }
+  for (const HandedTicket& handed : aTable.tickets_) {
+    TicketEntry entry{
+      handed.digest_, kNoAnswer, TicketPhase::kFinished, handed.fate_, handed.reason_
+    };
+    if (handed.fate_ == TicketFate::kAnswered) {
+      entry.answer_ = Remember(aAnswers, handed.answer_, aLimits);
     }
+    tickets.epochs_[handed.ticket_.epoch_].entries_.emplace(KeyOf(handed.ticket_), entry);
   }
-  std::sort(table.tickets_.begin(),
-            table.tickets_.end(),
-            [](const HandedTicket& aLeft, const HandedTicket& aRight) {
-              return aLeft.ticket_ < aRight.ticket_;
-            });
-  return table;
+  return tickets;
 }
 
 std::vector<Handover>
-SplitIntoParts(const ExecutorKey& aFrom,
-               const ExecutorKey& aSuccessor,
-               std::vector<HandedTable> aTables)
+MakeHandover(const ExecutorKey& aFrom,
+             const ExecutorKey& aSuccessor,
+             const ExecutorMap& aExecutors,
+             const RememberedAnswers& aAnswers,
+             std::size_t aPartBytes)
 {
-  const Handover empty{
-    aFrom.executor_, aFrom.incarnation_, aSuccessor.executor_, aSuccessor.incarnation_, 0, 1, {}
+  std::map<ExecutorKey, const ExecutorTickets*> ordered;
+  for (const auto& [key, tickets] : aExecutors) {
+    ordered.emplace(key, &tickets);
+  }
+  std::vector<Handover> parts{
+    { aFrom.executor_, aFrom.incarnation_, aSuccessor.executor_, aSuccessor.incarnation_, 0, 1, {} }
   };
-  std::vector<Handover> parts{ empty };
+  const Handover empty = parts.front();
   std::size_t bytes = 0;
-  for (HandedTable& table : aTables) {
+  for (const auto& [key, tickets] : ordered) {
+    HandedTable table = ToHandedTable(key, *tickets, aAnswers);
     parts.back().tables_.push_back(WithoutTickets(table));
-    parts.back().tables_.back().closedEpochs_ = table.closedEpochs_;
+    parts.back().tables_.back().closed_ = table.closed_;
     for (HandedTicket& ticket : table.tickets_) {
       const std::size_t size = kTicketBytes + AnswerBytes(ticket);
-      if (bytes > 0 && bytes + size > kHandoverPartBytes) {
+      if (bytes > 0 && bytes + size > aPartBytes) {
         parts.push_back(empty);
         parts.back().tables_.push_back(WithoutTickets(table));
         bytes = 0;
--- a/packages/policy/TicketHandover.h
+++ b/packages/policy/TicketHandover.h
@@ -15,8 +15,6 @@
 
 namespace fulmarway {
 
-/** A part is closed when it holds this much, so that calls are not delayed behind it for long. */
-inline constexpr std::size_t kHandoverPartBytes = 256U << 10;
 inline constexpr std::uint32_t kMaxHandoverParts = 4096;
 /** Handovers that are received at the same time. */
 inline constexpr std::size_t kMaxIncompleteHandovers = 8;
@@ -78,17 +76,22 @@
 void
 DropStaleHandovers(ReceivedHandovers& aReceived, Instant aNow);
 
-/** All finished tickets of one executor, oldest epoch first; the same for equal arguments. */
-HandedTable
-ToHandedTable(const ExecutorKey& aExecutor,
-              const ExecutorTickets& aTickets,
-              const RememberedAnswers& aAnswers);
-
-/** The tables in parts; at least one. Tables without tickets are included, since the right to run
- * tickets that were never presented moves with them. */
+/** Takes over the tickets of one executor. Its epoch clock goes on from the handed epoch at aNow.
+ */
+ExecutorTickets
+FromHandedTable(const HandedTable& aTable,
+                RememberedAnswers& aAnswers,
+                const AnswerLimits& aLimits,
+                Instant aNow);
+
+/** All finished tickets in parts; at least one part, and the same parts for equal arguments. Tables
+ * without tickets are included, since the right to run tickets that were never presented moves with
+ * them. */
 std::vector<Handover>
-SplitIntoParts(const ExecutorKey& aFrom,
-               const ExecutorKey& aSuccessor,
-               std::vector<HandedTable> aTables);
+MakeHandover(const ExecutorKey& aFrom,
+             const ExecutorKey& aSuccessor,
+             const ExecutorMap& aExecutors,
+             const RememberedAnswers& aAnswers,
+             std::size_t aPartBytes);
 
 } // namespace fulmarway
--- a/packages/policy/TicketTable.cpp
+++ b/packages/policy/TicketTable.cpp
@@ -1,6 +1,5 @@
 #include "policy/TicketTable.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace fulmarway {
@@ -59,15 +58,9 @@
 TicketDecision
 Join(TicketTable& aTable, const Ticket& aTicket, RequestId aRequester)
 {
-  Waiters& waiters = aTable.unfinished_[aTicket].waiters_;
-  if (std::find(waiters.begin(), waiters.end(), aRequester) != waiters.end()) {
-    return Act(TicketAction::kJoined);
-  }
-  if (waiters.size() >= kMaxWaiters) {
-    return Refuse(Verdict::kMayHaveRun, Reason::kRepeatLimit);
-  }
-  waiters.push_back(aRequester);
-  return Act(TicketAction::kJoined);
+  return AddWaiter(aTable.unfinished_[aTicket], aRequester)
+           ? Act(TicketAction::kJoined)
+           : Refuse(Verdict::kMayHaveRun, Reason::kRepeatLimit);
 }
 
 TicketDecision
@@ -105,6 +98,29 @@
   return finished ? DecideFinished(aTable, aEntry) : Join(aTable, aTicket, aRequester);
 }
 
+/** Drops expired tickets of all executors, at most kMaxDropsAtOnce. */
+void
+DropExpired(TicketTable& aTable)
+{
+  std::size_t budget = kMaxDropsAtOnce;
+  for (auto& [key, tickets] : aTable.executors_) {
+    const std::size_t dropped =
+      DropExpired(tickets, aTable.answers_, aTable.settings_.windowEpochs_, budget);
+    budget -= dropped;
+    aTable.ticketCount_ -= dropped;
+  }
+}
+
+/** Drops expired tickets first when there is no room. */
+bool
+IsFull(TicketTable& aTable)
+{
+  if (aTable.ticketCount_ >= aTable.settings_.maxTickets_) {
+    DropExpired(aTable);
+  }
+  return aTable.ticketCount_ >= aTable.settings_.maxTickets_;
+}
+
 TicketDecision
 DecideNew(TicketTable& aTable,
           ExecutorTickets& aExecutor,
@@ -118,19 +134,16 @@
   if (aTicket.epoch_ > std::uint64_t{ aExecutor.latestEpoch_ } + 1) {
     return Refuse(Verdict::kMayHaveRun, Reason::kTicketInvalid);
   }
-  EpochTickets& epoch = aExecutor.epochs_[aTicket.epoch_];
-  if (aTable.ticketCount_ >= aTable.settings_.maxTickets_) {
-    epoch.closed_ = true;
+  const std::uint64_t bucket = BucketOf(KeyOf(aTicket));
+  if (IsFull(aTable)) {
+    aExecutor.epochs_[aTicket.epoch_].closedBuckets_ |= bucket;
   }
-  if (epoch.closed_) {
+  if ((aExecutor.epochs_[aTicket.epoch_].closedBuckets_ & bucket) != 0) {
     return Refuse(Verdict::kNotRun, Reason::kTicketTableFull);
   }
-  TicketEntry entry;
-  entry.digest_ = aDigest;
-  epoch.entries_.emplace(KeyOf(aTicket), entry);
-  ++epoch.unfinished_;
+  AddEntry(aExecutor, aTicket, aDigest);
   ++aTable.ticketCount_;
-  aTable.unfinished_[aTicket].waiters_.push_back(aRequester);
+  AddWaiter(aTable.unfinished_[aTicket], aRequester);
   return Act(TicketAction::kRun);
 }
 
@@ -138,12 +151,10 @@
 Waiters
 FinishTicket(TicketTable& aTable, const Ticket& aTicket, TicketFate aFate, Reason aReason)
 {
-  ExecutorTickets& executor = aTable.executors_.at(ExecutorOf(aTicket));
-  TicketEntry& entry = *FindEntry(executor, aTicket);
+  TicketEntry& entry = *FindEntry(aTable, aTicket);
   entry.phase_ = TicketPhase::kFinished;
   entry.fate_ = aFate;
   entry.reason_ = aReason;
-  --executor.epochs_.at(aTicket.epoch_).unfinished_;
   auto unfinished = aTable.unfinished_.extract(aTicket);
   return std::move(unfinished.mapped().waiters_);
 }
@@ -152,25 +163,10 @@
 void
 Inherit(TicketTable& aTable, const HandedTable& aHanded, Instant aNow)
 {
-  ExecutorTickets tickets;
-  tickets.baseEpoch_ = aHanded.epoch_;
-  tickets.latestEpoch_ = aHanded.epoch_;
-  tickets.since_ = aNow;
-  for (const std::uint32_t epoch : aHanded.closedEpochs_) {
-    tickets.epochs_[epoch].closed_ = true;
-  }
-  for (const HandedTicket& handed : aHanded.tickets_) {
-    TicketEntry entry{
-      handed.digest_, kNoAnswer, TicketPhase::kFinished, handed.fate_, handed.reason_
-    };
-    if (handed.fate_ == TicketFate::kAnswered) {
-      entry.answer_ = Remember(aTable.answers_, handed.answer_, LimitsOf(aTable.settings_));
-    }
-    tickets.epochs_[handed.ticket_.epoch_].entries_.emplace(KeyOf(handed.ticket_), entry);
-  }
   aTable.ticketCount_ += aHanded.tickets_.size();
-  aTable.executors_.emplace(ExecutorKey{ aHanded.executor_, aHanded.incarnation_ },
-                            std::move(tickets));
+  aTable.executors_.emplace(
+    ExecutorKey{ aHanded.executor_, aHanded.incarnation_ },
+    FromHandedTable(aHanded, aTable.answers_, LimitsOf(aTable.settings_), aNow));
 }
 
 bool
@@ -188,15 +184,6 @@
          aTable.received_.accepted_.size() < kMaxAcceptedHandovers;
 }
 
-/** An inherited executor issues no tickets, so it can be dropped once its last epoch has expired.
- */
-bool
-IsSpent(const ExecutorTickets& aTickets, std::uint32_t aWindowEpochs)
-{
-  return aTickets.epochs_.empty() &&
-         aTickets.latestEpoch_ > std::uint64_t{ aTickets.baseEpoch_ } + aWindowEpochs + 1;
-}
-
 } // namespace
 
 TicketTable
@@ -314,15 +301,13 @@
     // A repeated BeginHandover() returns the same parts, so the tables stay as they are.
     return aTable;
   }
-  const ExecutorKey own = OwnKey(aTable);
-  const std::uint32_t window = aTable.settings_.windowEpochs_;
-  for (auto item = aTable.executors_.begin(); item != aTable.executors_.end();) {
-    ExecutorTickets& tickets = item->second;
+  for (auto& [key, tickets] : aTable.executors_) {
     tickets.latestEpoch_ = EpochAt(tickets, aTable.settings_.epochLength_, aNow);
-    aTable.ticketCount_ -= DropExpired(tickets, aTable.answers_, window);
-    const bool drop = item->first != own && IsSpent(tickets, window);
-    item = drop ? aTable.executors_.erase(item) : std::next(item);
   }
+  DropExpired(aTable);
+  std::erase_if(aTable.executors_, [&aTable](const auto& aItem) {
+    return aItem.first != OwnKey(aTable) && IsSpent(aItem.second, aTable.settings_.windowEpochs_);
+  });
   return aTable;
 }
 
@@ -344,17 +329,9 @@
   if (!IsRunning(aTable, aRequest.parent_)) {
     return { std::move(aTable), std::nullopt };
   }
-  auto& children = aTable.unfinished_.at(aRequest.parent_).children_;
-  const auto recorded = children.find(aRequest.callIndex_);
-  if (recorded != children.end()) {
-    const Ticket ticket = recorded->second;
-    return { std::move(aTable), ticket };
-  }
-  if (children.size() >= kMaxChildTickets) {
-    return { std::move(aTable), std::nullopt };
-  }
-  children.emplace(aRequest.callIndex_, aRequest.proposed_);
-  return { std::move(aTable), aRequest.proposed_ };
+  const std::optional<Ticket> child =
+    RecordChild(aTable.unfinished_.at(aRequest.parent_), aRequest.callIndex_, aRequest.proposed_);
+  return { std::move(aTable), child };
 }
 
 TicketTable
@@ -365,11 +342,7 @@
 {
   const auto parent = aTable.unfinished_.find(aParent);
   if (parent != aTable.unfinished_.end()) {
-    auto& children = parent->second.children_;
-    const auto recorded = children.find(aCallIndex);
-    if (recorded != children.end() && recorded->second == aRefused) {
-      children.erase(recorded);
-    }
+    ReleaseChild(parent->second, aCallIndex, aRefused);
   }
   return aTable;
 }
@@ -392,15 +365,11 @@
       tickets.latestEpoch_ = EpochAt(tickets, aTable.settings_.epochLength_, aNow);
     }
   }
-  std::map<ExecutorKey, HandedTable> tables;
-  for (const auto& [key, tickets] : aTable.executors_) {
-    tables.emplace(key, ToHandedTable(key, tickets, aTable.answers_));
-  }
-  std::vector<HandedTable> ordered;
-  for (auto& [key, table] : tables) {
-    ordered.push_back(std::move(table));
-  }
-  std::vector<Handover> parts = SplitIntoParts(OwnKey(aTable), successor, std::move(ordered));
+  std::vector<Handover> parts = MakeHandover(OwnKey(aTable),
+                                             successor,
+                                             aTable.executors_,
+                                             aTable.answers_,
+                                             aTable.settings_.handoverPartBytes_);
   return { std::move(aTable), std::move(parts) };
 }
 
--- a/packages/policy/TicketTable.h
+++ b/packages/policy/TicketTable.h
@@ -11,11 +11,10 @@
 #include "policy/ExecutorTickets.h"
 #include "policy/RememberedAnswers.h"
 #include "policy/TicketHandover.h"
+#include "policy/UnfinishedTickets.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace fulmarway {
@@ -30,6 +29,9 @@
   std::size_t maxAnswerBytes_ = 16U << 20;
   /** A larger body is not remembered. */
   std::size_t maxBodyBytes_ = 256U << 10;
+  /** A part of a handover is closed at this size, so that calls on the same connection are not
+   * delayed behind it for long. */
+  std::size_t handoverPartBytes_ = 256U << 10;
 
   auto operator<=>(const TicketSettings&) const = default;
 };
@@ -61,31 +63,10 @@
   bool operator==(const TicketDecision&) const = default;
 };
 
-/** Requests that wait for a ticket, each to be sent the outcome. */
-using Waiters = std::vector<RequestId>;
-
-/** At most this many requests wait for one ticket; more repeats are refused. */
-inline constexpr std::size_t kMaxWaiters = 64;
-/** At most this many deeper calls are recorded for one ticket. */
-inline constexpr std::size_t kMaxChildTickets = 256;
-
-/** What is kept for a queued or running ticket only. */
-struct UnfinishedTicket
-{
-  Waiters waiters_;
-  /** Tickets of deeper calls by call index. */
-  std::map<std::uint32_t, Ticket> children_;
-
-  bool operator==(const UnfinishedTicket&) const = default;
-};
-
-struct TicketHash
-{
-  std::size_t operator()(const Ticket& aTicket) const noexcept
-  {
-    return TicketKeyHash{}(KeyOf(aTicket));
-  }
-};
+/** Expired tickets that are dropped by one event, so that the end of a busy epoch does not delay
+ * calls. AdvanceTickets() is called ten times a second, so this is 34 times the rate of requests.
+ */
+inline constexpr std::size_t kMaxDropsAtOnce = 1024;
 
 struct TicketTable
 {
@@ -94,10 +75,10 @@
   Incarnation incarnation_;
   Instant startedAt_;
   /** The own tickets and those that were handed to this node. */
-  std::unordered_map<ExecutorKey, ExecutorTickets, ExecutorKeyHash> executors_;
+  ExecutorMap executors_;
   /** Entries of all executors. */
   std::size_t ticketCount_ = 0;
-  std::unordered_map<Ticket, UnfinishedTicket, TicketHash> unfinished_;
+  UnfinishedTicketMap unfinished_;
   RememberedAnswers answers_;
   ReceivedHandovers received_;
   /** Set by BeginHandover(), never changed afterwards. */
--- /dev/null
+++ b/packages/policy/tests/TicketHandoverTest.cpp
@@ -0,0 +1,280 @@
+/** \file
+ * Guards against a planned stop that loses outcomes, or gives two processes the right to run the
+ * same tickets.
+ */
+#include "policy/TicketTable.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr NodeId kOld{ 1 };
+constexpr NodeId kNew{ 2 };
+constexpr Incarnation kRunOfOld{ 1, 1 };
+constexpr Incarnation kRunOfNew{ 2, 2 };
+constexpr Incarnation kAnotherRun{ 3, 3 };
+/** When the old node stops; it has been up for ten epochs, the new one for none. */
+constexpr Instant kStop{ seconds(10 * 30 + 5) };
+constexpr std::uint32_t kStopEpoch = 11;
+
+const TicketSettings kSettings{ seconds(30), 4, 6, 4000, 1000, 300 };
+
+Ticket
+TicketOfOld(std::uint64_t aNumber, std::uint32_t aEpoch = kStopEpoch)
+{
+  return { kOld, kRunOfOld, aEpoch, { 5, aNumber }, { 6, aNumber } };
+}
+
+TicketDecision
+Present(TicketTable& aTable, const Ticket& aTicket, Instant aNow)
+{
+  auto step = PresentTicket(std::move(aTable), aTicket, 7, RequestId{ 1 }, aNow);
+  aTable = std::move(step.state_);
+  return step.result_;
+}
+
+/** One answered, one closed, one abandoned and one answered without a body. */
+TicketTable
+OldTable()
+{
+  TicketTable table = MakeTicketTable(kSettings, kOld, kRunOfOld, Instant{});
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    Present(table, TicketOfOld(number), kStop);
+    if (number != 2) {
+      table = StartTicket(std::move(table), TicketOfOld(number)).state_;
+    }
+  }
+  table = CompleteTicket(std::move(table), TicketOfOld(1), { 201, "a/b", "body" }).state_;
+  table = CloseTicket(std::move(table), TicketOfOld(2), Reason::kDeadline).state_;
+  table = AbandonTicket(std::move(table), TicketOfOld(3), Reason::kBackendLost).state_;
+  const Answer large{ 200, "", std::string(1001, 'x') };
+  return CompleteTicket(std::move(table), TicketOfOld(4), large).state_;
+}
+
+Refusal
+Refused(Verdict aVerdict, Reason aReason)
+{
+  return { aVerdict, aReason, std::nullopt };
+}
+
+TicketTable
+NewTable(Incarnation aIncarnation = kRunOfNew)
+{
+  return MakeTicketTable(kSettings, kNew, aIncarnation, kStop);
+}
+
+std::vector<Handover>
+Begin(TicketTable& aTable, NodeId aSuccessor, Incarnation aIncarnation, Instant aNow = kStop)
+{
+  auto step = BeginHandover(std::move(aTable), aSuccessor, aIncarnation, aNow);
+  aTable = std::move(step.state_);
+  return step.result_;
+}
+
+std::optional<bool>
+Accept(TicketTable& aTable, const Handover& aPart, Instant aNow = kStop)
+{
+  auto step = AcceptHandover(std::move(aTable), aPart, aNow);
+  aTable = std::move(step.state_);
+  return step.result_;
+}
+
+std::vector<Handover>
+PartsOfOld()
+{
+  TicketTable table = OldTable();
+  return Begin(table, kNew, kRunOfNew);
+}
+
+} // namespace
+
+Test(ticket_handover, the_successor_replays_runs_and_refuses)
+{
+  TicketTable table = NewTable();
+  std::optional<bool> accepted;
+  for (const Handover& part : PartsOfOld()) {
+    cr_assert(accepted != true);
+    cr_assert(Present(table, TicketOfOld(9), kStop).refusal_.reason_ ==
+              Reason::kTicketOfLostExecutor);
+    accepted = Accept(table, part);
+  }
+  cr_assert(accepted == true);
+  const Answer answer{ 201, "a/b", "body" };
+  cr_assert(Present(table, TicketOfOld(1), kStop).answer_ == answer);
+  cr_assert(Present(table, TicketOfOld(2), kStop).refusal_ ==
+            Refused(Verdict::kNotRun, Reason::kDeadline));
+  cr_assert(Present(table, TicketOfOld(3), kStop).refusal_ ==
+            Refused(Verdict::kMayHaveRun, Reason::kBackendLost));
+  cr_assert(Present(table, TicketOfOld(4), kStop).refusal_ ==
+            Refused(Verdict::kRan, Reason::kAnswerNotKept));
+  cr_assert(Present(table, TicketOfOld(9), kStop).action_ == TicketAction::kRun);
+}
+
+Test(ticket_handover, a_repeat_to_the_same_successor_is_the_same)
+{
+  TicketTable table = OldTable();
+  const auto parts = Begin(table, kNew, kRunOfNew);
+  cr_assert_gt(parts.size(), 1);
+  const Instant later = kStop + seconds(3000);
+  table = AdvanceTickets(std::move(table), later);
+  cr_assert(Begin(table, kNew, kRunOfNew, later) == parts);
+  cr_assert(Begin(table, kNew, kAnotherRun, later).empty(), "another run of the successor");
+  cr_assert(Begin(table, NodeId{ 3 }, kRunOfNew, later).empty(), "another successor");
+  cr_assert(SuccessorOf(table) == kNew);
+}
+
+Test(ticket_handover, unfinished_tickets_and_invalid_successors_prevent_it)
+{
+  TicketTable table = OldTable();
+  cr_assert(Begin(table, NodeId{}, kRunOfNew).empty());
+  cr_assert(Begin(table, kOld, kRunOfNew).empty());
+  Present(table, TicketOfOld(5), kStop);
+  cr_assert(Begin(table, kNew, kRunOfNew).empty());
+  cr_assert(StartTicket(std::move(table), TicketOfOld(5)).result_);
+}
+
+/** The process before the restart may have accepted and run tickets. */
+Test(ticket_handover, a_restarted_successor_refuses)
+{
+  TicketTable table = NewTable(kAnotherRun);
+  for (const Handover& part : PartsOfOld()) {
+    cr_assert(Accept(table, part) == std::nullopt);
+  }
+}
+
+Test(ticket_handover, the_epoch_clock_of_the_old_node_goes_on)
+{
+  TicketTable table = NewTable();
+  for (const Handover& part : PartsOfOld()) {
+    Accept(table, part);
+  }
+  cr_assert_eq(CurrentEpoch(table, kStop), 1);
+  cr_assert(Present(table, TicketOfOld(9, kStopEpoch - 5), kStop).refusal_.reason_ ==
+            Reason::kTicketExpired);
+  const Instant later = kStop + seconds(30 * 5);
+  cr_assert(Present(table, TicketOfOld(1), later - seconds(1)).action_ == TicketAction::kReplay);
+  table = AdvanceTickets(std::move(table), later);
+  cr_assert(Present(table, TicketOfOld(1), later).refusal_.reason_ == Reason::kTicketExpired);
+  cr_assert(Present(table, TicketOfOld(9, kStopEpoch + 5), later).action_ == TicketAction::kRun);
+}
+
+Test(ticket_handover, a_part_that_arrives_after_expiry_brings_nothing_back)
+{
+  const auto parts = PartsOfOld();
+  TicketTable table = NewTable();
+  for (const Handover& part : parts) {
+    Accept(table, part);
+  }
+  const Instant later = kStop + seconds(30 * 7);
+  table = AdvanceTickets(std::move(table), later);
+  cr_assert_eq(table.executors_.size(), 1, "the inherited table is not dropped");
+  for (const Handover& part : parts) {
+    cr_assert(Accept(table, part, later) == true);
+  }
+  cr_assert(Present(table, TicketOfOld(1), later).refusal_.reason_ ==
+            Reason::kTicketOfLostExecutor);
+}
+
+Test(ticket_handover, inherited_tickets_are_passed_on)
+{
+  TicketTable second = NewTable();
+  for (const Handover& part : PartsOfOld()) {
+    Accept(second, part);
+  }
+  TicketTable third = MakeTicketTable(kSettings, NodeId{ 3 }, kAnotherRun, kStop);
+  const Instant later = kStop + seconds(30);
+  for (const Handover& part : Begin(second, NodeId{ 3 }, kAnotherRun, later)) {
+    Accept(third, part, later);
+  }
+  cr_assert_eq(third.executors_.size(), 3);
+  cr_assert(Present(third, TicketOfOld(1), later).action_ == TicketAction::kReplay);
+  cr_assert(Present(third, TicketOfOld(9, kStopEpoch + 2), later).action_ == TicketAction::kRun);
+  cr_assert(Present(third, TicketOfOld(8, kStopEpoch + 3), later).refusal_.reason_ ==
+            Reason::kTicketInvalid);
+}
+
+Test(ticket_handover, a_node_that_handed_over_accepts_nothing_new)
+{
+  const auto parts = PartsOfOld();
+  TicketTable fresh = NewTable();
+  Begin(fresh, NodeId{ 3 }, kAnotherRun);
+  cr_assert(Accept(fresh, parts.front()) == std::nullopt);
+  TicketTable accepted = NewTable();
+  for (const Handover& part : parts) {
+    Accept(accepted, part);
+  }
+  Begin(accepted, NodeId{ 3 }, kAnotherRun);
+  cr_assert(Accept(accepted, parts.front()) == true, "the lost acknowledgement is repeated");
+}
+
+Test(ticket_handover, tables_beyond_the_bounds_are_refused_whole)
+{
+  TicketTable table = NewTable();
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    Present(table, { kNew, kRunOfNew, 1, { 1, number }, { 1, number } }, kStop);
+  }
+  const auto parts = PartsOfOld();
+  for (const Handover& part : parts) {
+    cr_assert(Accept(table, part) != true);
+  }
+  cr_assert_eq(TicketCount(table), 3);
+  cr_assert(table.received_ == ReceivedHandovers{});
+  Handover wrong = parts.front();
+  wrong.partCount_ = 1;
+  wrong.tables_ = { { kNew, kRunOfNew, 1, {}, {} } };
+  cr_assert(Accept(table, wrong) == std::nullopt, "the receiver's own table");
+  wrong = parts.front();
+  wrong.partCount_ = kMaxHandoverParts + 1;
+  cr_assert(Accept(table, wrong) == std::nullopt);
+  wrong = parts.front();
+  wrong.part_ = wrong.partCount_;
+  cr_assert(Accept(table, wrong) == std::nullopt);
+}
+
+Test(ticket_handover, an_incomplete_handover_is_dropped)
+{
+  TicketTable table = NewTable();
+  cr_assert(Accept(table, PartsOfOld().front()) == false);
+  table = AdvanceTickets(std::move(table), kStop + kIncompleteHandoverTimeout + seconds(1));
+  cr_assert(table.received_.incomplete_.empty());
+}
+
+/** Refusals by a full table have no entry and must be handed over all the same. */
+Test(ticket_handover, refusals_by_a_full_table_are_handed_over)
+{
+  TicketTable old = OldTable();
+  Present(old, TicketOfOld(5), kStop);
+  Present(old, TicketOfOld(6), kStop);
+  for (const std::uint64_t number : { 5, 6 }) {
+    old = CloseTicket(std::move(old), TicketOfOld(number), Reason::kDeadline).state_;
+  }
+  const Refusal full = Refused(Verdict::kNotRun, Reason::kTicketTableFull);
+  cr_assert(Present(old, TicketOfOld(7, kStopEpoch + 1), kStop).refusal_ == full);
+  TicketTable table = NewTable();
+  for (const Handover& part : Begin(old, kNew, kRunOfNew)) {
+    Accept(table, part);
+  }
+  const Instant later = kStop + seconds(30 * 5);
+  table = AdvanceTickets(std::move(table), later);
+  cr_assert_eq(TicketCount(table), 0);
+  cr_assert(Present(table, TicketOfOld(7, kStopEpoch + 1), later).refusal_ == full);
+}
+
+Test(ticket_handover, only_the_first_acknowledgement_ends_it)
+{
+  TicketTable table = OldTable();
+  const auto confirm = [&table](NodeId aFrom, Incarnation aIncarnation) {
+    auto step = ConfirmHandover(std::move(table), { aFrom, aIncarnation });
+    table = std::move(step.state_);
+    return step.result_;
+  };
+  cr_assert_not(confirm(kOld, kRunOfOld));
+  Begin(table, kNew, kRunOfNew);
+  cr_assert_not(confirm(kOld, kAnotherRun));
+  cr_assert(confirm(kOld, kRunOfOld));
+  cr_assert_not(confirm(kOld, kRunOfOld));
+}
--- /dev/null
+++ b/packages/policy/tests/TicketWorld.h
@@ -0,0 +1,479 @@
+/** \file
+ * Several executors in virtual time with every fault that messages and processes can have. Keeps a
+ * plain record of what ran and what was told, and checks each decision against it.
+ */
+#pragma once
+
+#include "policy/TicketTable.h"
+
+#include <cstdint>
+#include <map>
+#include <numeric>
+#include <ostream>
+#include <rapidcheck.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmarway {
+
+/** One operation; the fields choose node, ticket and variant. */
+struct WorldStep
+{
+  std::uint32_t kind_ = 0;
+  std::uint32_t node_ = 0;
+  std::uint32_t ticket_ = 0;
+  std::uint32_t variant_ = 0;
+};
+
+inline void
+showValue(const WorldStep& aStep, std::ostream& aStream)
+{
+  aStream << '{' << aStep.kind_ << ',' << aStep.node_ << ',' << aStep.ticket_ << ','
+          << aStep.variant_ << '}';
+}
+
+struct IssuedTicket
+{
+  Ticket ticket_;
+  int starts_ = 0;
+  bool toldNotRun_ = false;
+  bool answered_ = false;
+  Answer answer_;
+};
+
+/** One process. Dies with a restart of its node. */
+struct Executor
+{
+  TicketTable table_;
+  /** Its clock shows the world's time plus this. */
+  Duration clockOffset_{ 0 };
+  std::set<std::size_t> queued_;
+  std::set<std::size_t> running_;
+  /** Requesters that have not been told the outcome, with their ticket. */
+  std::map<std::uint64_t, std::size_t> waiting_;
+  /** The first parts returned by BeginHandover(). */
+  std::vector<Handover> parts_;
+  bool confirmed_ = false;
+};
+
+class TicketWorld
+{
+public:
+  explicit TicketWorld(std::size_t aMaxTickets)
+  {
+    settings_ = { std::chrono::seconds(10), 3, aMaxTickets, 300, 120, 250 };
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      nodes_.emplace_back();
+      Restart(node);
+    }
+  }
+
+  void Run(const std::vector<WorldStep>& aSteps)
+  {
+    for (const WorldStep& step : aSteps) {
+      Apply(step);
+      for (const Executor& node : nodes_) {
+        CheckBounds(node);
+      }
+    }
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      FinishAll(node);
+      RC_ASSERT(nodes_[node].waiting_.empty());
+    }
+  }
+
+  int Starts() const
+  {
+    return std::accumulate(issued_.begin(), issued_.end(), 0, [](int aSum, const auto& aTicket) {
+      return aSum + aTicket.starts_;
+    });
+  }
+  int Handovers() const { return handovers_; }
+
+private:
+  static constexpr std::size_t kNodes = 4;
+
+  static NodeId IdOf(std::size_t aNode) { return NodeId{ 100 + aNode }; }
+  Instant LocalTime(const Executor& aNode) const { return Instant{ now_ } + aNode.clockOffset_; }
+
+  template<typename Result>
+  static Result Take(Executor& aNode, Step<TicketTable, Result> aStep)
+  {
+    aNode.table_ = std::move(aStep.state_);
+    return std::move(aStep.result_);
+  }
+
+  /** Loses the process and starts a new one. */
+  void Restart(std::size_t aNode)
+  {
+    Executor& node = nodes_[aNode];
+    node = Executor{};
+    node.clockOffset_ = std::chrono::seconds(7 * (++incarnations_ % 11));
+    node.table_ =
+      MakeTicketTable(settings_, IdOf(aNode), Incarnation{ 1, incarnations_ }, LocalTime(node));
+  }
+
+  void Apply(const WorldStep& aStep)
+  {
+    const std::size_t node = aStep.node_ % kNodes;
+    const std::size_t variant = aStep.variant_;
+    if (issued_.empty()) {
+      Issue(node, variant);
+    }
+    const std::size_t recent = std::min<std::size_t>(issued_.size(), variant % 4 == 0 ? 1000 : 8);
+    const std::size_t ticket = issued_.size() - 1 - aStep.ticket_ % recent;
+    switch (aStep.kind_ % 24) {
+      case 0:
+      case 1:
+      case 2:
+        return Issue(node, variant);
+      case 3:
+      case 4:
+      case 5:
+      case 6:
+      case 7:
+        return Present(node, ticket, variant);
+      case 8:
+      case 9:
+        return PresentEverywhere(ticket, variant);
+      case 10:
+      case 11:
+        return Start(node, ticket);
+      case 12:
+      case 13:
+        return StartAll(node);
+      case 14:
+        return Complete(node, ticket, variant);
+      case 15:
+        return Close(node, ticket);
+      case 16:
+        return variant % 2 == 0 ? Abandon(node, ticket) : Leave(node, ticket);
+      case 17:
+        return FinishAll(node);
+      case 18:
+        return Begin(node, aStep.ticket_ % kNodes, variant);
+      case 19:
+        FinishAll(node);
+        return Begin(node, aStep.ticket_ % kNodes, variant);
+      case 20:
+        return Deliver(aStep.ticket_, variant);
+      case 21:
+        return DeliverAll(aStep.ticket_, variant);
+      case 22:
+        return variant % 4 == 0 ? Restart(node) : Tick(node);
+      default:
+        return PassTime(variant);
+    }
+  }
+
+  void Issue(std::size_t aNode, std::size_t aVariant)
+  {
+    const Executor& node = nodes_[aNode];
+    const std::uint32_t ahead = aVariant % 8 == 0 ? 3 : aVariant % 8 == 1 ? 1 : 0;
+    const std::uint64_t number = issued_.size();
+    // Few different MACs, so that the buckets of a full table meet.
+    issued_.push_back({ { IdOf(aNode),
+                          node.table_.incarnation_,
+                          CurrentEpoch(node.table_, LocalTime(node)) + ahead,
+                          { 5, number },
+                          { 6, number % 3 } } });
+  }
+
+  void Present(std::size_t aNode, std::size_t aTicket, std::size_t aVariant)
+  {
+    Executor& node = nodes_[aNode];
+    IssuedTicket& issued = issued_[aTicket];
+    const std::uint64_t requester =
+      aVariant % 8 == 3 ? RepeatedRequester(node, aTicket) : ++requesters_;
+    const std::uint64_t digest = aVariant % 16 == 5 ? 1 : 2;
+    const TicketDecision decision = Take(
+      node,
+      PresentTicket(
+        std::move(node.table_), issued.ticket_, digest, RequestId{ requester }, LocalTime(node)));
+    RC_ASSERT(node.parts_.empty() || decision.refusal_.reason_ == Reason::kTicketMoved);
+    switch (decision.action_) {
+      case TicketAction::kRun:
+        RC_ASSERT(node.queued_.insert(aTicket).second);
+        node.waiting_[requester] = aTicket;
+        break;
+      case TicketAction::kJoined:
+        RC_ASSERT(node.queued_.contains(aTicket) || node.running_.contains(aTicket));
+        node.waiting_[requester] = aTicket;
+        break;
+      case TicketAction::kReplay:
+        RC_ASSERT(issued.answered_);
+        RC_ASSERT(decision.answer_ == issued.answer_);
+        break;
+      case TicketAction::kRefuse:
+        CheckRefusal(node, issued, decision);
+        break;
+    }
+  }
+
+  /** A request that waits already, as when its frame is duplicated. */
+  std::uint64_t RepeatedRequester(const Executor& aNode, std::size_t aTicket)
+  {
+    for (const auto& [requester, ticket] : aNode.waiting_) {
+      if (ticket == aTicket) {
+        return requester;
+      }
+    }
+    return ++requesters_;
+  }
+
+  static void CheckRefusal(const Executor& aNode,
+                           IssuedTicket& aIssued,
+                           const TicketDecision& aDecision)
+  {
+    const Refusal& refusal = aDecision.refusal_;
+    if (refusal.verdict_ == Verdict::kNotRun) {
+      TellNotRun(aIssued);
+    }
+    RC_ASSERT(refusal.verdict_ != Verdict::kRan || aIssued.answered_);
+    if (refusal.reason_ == Reason::kTicketMoved) {
+      RC_ASSERT(!aNode.parts_.empty());
+      RC_ASSERT(aDecision.successor_ == aNode.parts_.front().successor_);
+      RC_ASSERT(refusal.verdict_ == Verdict::kMayHaveRun);
+    }
+  }
+
+  static void TellNotRun(IssuedTicket& aIssued)
+  {
+    RC_ASSERT(aIssued.starts_ == 0);
+    aIssued.toldNotRun_ = true;
+  }
+
+  void PresentEverywhere(std::size_t aTicket, std::size_t aVariant)
+  {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      Present(node, aTicket, aVariant);
+    }
+  }
+
+  void Start(std::size_t aNode, std::size_t aTicket)
+  {
+    Executor& node = nodes_[aNode];
+    IssuedTicket& issued = issued_[aTicket];
+    const bool started = Take(node, StartTicket(std::move(node.table_), issued.ticket_));
+    RC_ASSERT(started == (node.queued_.erase(aTicket) == 1));
+    if (started) {
+      RC_ASSERT(node.parts_.empty());
+      RC_ASSERT(issued.starts_ == 0);
+      RC_ASSERT(!issued.toldNotRun_);
+      ++issued.starts_;
+      node.running_.insert(aTicket);
+    }
+  }
+
+  void StartAll(std::size_t aNode)
+  {
+    const auto queued = nodes_[aNode].queued_;
+    for (const std::size_t ticket : queued) {
+      Start(aNode, ticket);
+    }
+  }
+
+  /** Each waiter of the ticket is told once: all of them when it ends, none otherwise. */
+  static void Tell(Executor& aNode, std::size_t aTicket, const Waiters& aTold, bool aEnds)
+  {
+    RC_ASSERT(aEnds || aTold.empty());
+    for (const RequestId requester : aTold) {
+      const auto waiting = aNode.waiting_.find(requester.value_);
+      RC_ASSERT(waiting != aNode.waiting_.end());
+      RC_ASSERT(waiting->second == aTicket);
+      aNode.waiting_.erase(waiting);
+    }
+    if (aEnds) {
+      for (const auto& [requester, ticket] : aNode.waiting_) {
+        RC_ASSERT(ticket != aTicket);
+      }
+    }
+  }
+
+  void Complete(std::size_t aNode, std::size_t aTicket, std::size_t aVariant)
+  {
+    Executor& node = nodes_[aNode];
+    IssuedTicket& issued = issued_[aTicket];
+    const Answer answer{ 200, "text/plain", std::string(aVariant % 128, 'x') };
+    const Waiters told = Take(node, CompleteTicket(std::move(node.table_), issued.ticket_, answer));
+    const bool ends = node.running_.erase(aTicket) == 1;
+    Tell(node, aTicket, told, ends);
+    if (ends) {
+      issued.answered_ = true;
+      issued.answer_ = answer;
+    }
+  }
+
+  void Close(std::size_t aNode, std::size_t aTicket)
+  {
+    Executor& node = nodes_[aNode];
+    IssuedTicket& issued = issued_[aTicket];
+    const Waiters told =
+      Take(node, CloseTicket(std::move(node.table_), issued.ticket_, Reason::kShedByQueue));
+    const bool ends = node.queued_.erase(aTicket) == 1;
+    Tell(node, aTicket, told, ends);
+    if (ends) {
+      TellNotRun(issued);
+    }
+  }
+
+  void Abandon(std::size_t aNode, std::size_t aTicket)
+  {
+    Executor& node = nodes_[aNode];
+    const Waiters told = Take(
+      node, AbandonTicket(std::move(node.table_), issued_[aTicket].ticket_, Reason::kBackendLost));
+    const bool ends = node.queued_.erase(aTicket) + node.running_.erase(aTicket) == 1;
+    Tell(node, aTicket, told, ends);
+  }
+
+  void Leave(std::size_t aNode, std::size_t aTicket)
+  {
+    Executor& node = nodes_[aNode];
+    std::uint64_t leaver = 0;
+    std::size_t left = 0;
+    for (const auto& [requester, ticket] : node.waiting_) {
+      left += ticket == aTicket ? 1 : 0;
+      leaver = ticket == aTicket ? requester : leaver;
+    }
+    left -= node.waiting_.erase(leaver);
+    const std::size_t reported = Take(
+      node, LeaveTicket(std::move(node.table_), issued_[aTicket].ticket_, RequestId{ leaver }));
+    RC_ASSERT(reported == left);
+  }
+
+  void FinishAll(std::size_t aNode)
+  {
+    const auto queued = nodes_[aNode].queued_;
+    const auto running = nodes_[aNode].running_;
+    for (const std::size_t ticket : queued) {
+      Close(aNode, ticket);
+    }
+    for (const std::size_t ticket : running) {
+      Complete(aNode, ticket, ticket * 31);
+    }
+  }
+
+  void Begin(std::size_t aNode, std::size_t aSuccessor, std::size_t aVariant)
+  {
+    Executor& node = nodes_[aNode];
+    const Incarnation incarnation = nodes_[aSuccessor].table_.incarnation_;
+    const bool first = node.parts_.empty();
+    const std::vector<Handover> parts = Take(
+      node, BeginHandover(std::move(node.table_), IdOf(aSuccessor), incarnation, LocalTime(node)));
+    if (!node.queued_.empty() || !node.running_.empty() || aSuccessor == aNode) {
+      RC_ASSERT(parts.empty());
+      return;
+    }
+    const bool same = first || (node.parts_.front().successor_ == IdOf(aSuccessor) &&
+                                node.parts_.front().successorIncarnation_ == incarnation);
+    RC_ASSERT(parts.empty() != same);
+    if (parts.empty()) {
+      return;
+    }
+    RC_ASSERT(first || parts == node.parts_);
+    node.parts_ = parts;
+    for (const Handover& part : parts) {
+      // One part in four is lost.
+      if ((aVariant++ * 7 + part.part_) % 4 != 0) {
+        mail_.push_back(part);
+      }
+    }
+  }
+
+  /** Delivers one message; three times in four it stays and may arrive again at any later time. */
+  void Deliver(std::size_t aMessage, std::size_t aVariant)
+  {
+    if (mail_.empty()) {
+      return;
+    }
+    const std::size_t index = mail_.size() - 1 - aMessage % mail_.size();
+    const Handover part = mail_[index];
+    if (aVariant % 4 == 0) {
+      mail_.erase(mail_.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    DeliverPart(part, aVariant);
+  }
+
+  /** Delivers all parts of one handover that were not lost. */
+  void DeliverAll(std::size_t aMessage, std::size_t aVariant)
+  {
+    if (mail_.empty()) {
+      return;
+    }
+    const Handover chosen = mail_[mail_.size() - 1 - aMessage % mail_.size()];
+    for (const Handover& part : mail_) {
+      if (part.from_ == chosen.from_ && part.incarnation_ == chosen.incarnation_) {
+        DeliverPart(part, aVariant);
+      }
+    }
+  }
+
+  /** The part reaches whatever process runs on the node now. */
+  void DeliverPart(const Handover& aPart, std::size_t aVariant)
+  {
+    Executor& receiver = nodes_[aPart.successor_.value_ - IdOf(0).value_];
+    const auto accepted =
+      Take(receiver, AcceptHandover(std::move(receiver.table_), aPart, LocalTime(receiver)));
+    handovers_ += accepted == true ? 1 : 0;
+    if (accepted == true && aVariant % 3 != 0) {
+      Executor& sender = nodes_[aPart.from_.value_ - IdOf(0).value_];
+      const bool ended = Take(
+        sender, ConfirmHandover(std::move(sender.table_), { aPart.from_, aPart.incarnation_ }));
+      const bool expected = sender.table_.incarnation_ == aPart.incarnation_ && !sender.confirmed_;
+      RC_ASSERT(ended == expected);
+      sender.confirmed_ = sender.confirmed_ || ended;
+    }
+  }
+
+  void Tick(std::size_t aNode)
+  {
+    Executor& node = nodes_[aNode];
+    node.table_ = AdvanceTickets(std::move(node.table_), LocalTime(node));
+  }
+
+  /** From a fraction of an epoch to longer than any timeout. The other processes are paused until
+   * their next event. */
+  void PassTime(std::size_t aVariant)
+  {
+    constexpr int kSeconds[] = { 1, 4, 10, 10, 10, 30, 60, 300 };
+    now_ += std::chrono::seconds(kSeconds[aVariant % std::size(kSeconds)]);
+  }
+
+  void CheckBounds(const Executor& aNode) const
+  {
+    const TicketTable& table = aNode.table_;
+    std::size_t entries = 0;
+    std::size_t answers = 0;
+    for (const auto& [key, tickets] : table.executors_) {
+      for (const auto& [epoch, ofEpoch] : tickets.epochs_) {
+        entries += ofEpoch.entries_.size();
+        for (const auto& [ticket, entry] : ofEpoch.entries_) {
+          answers += Recall(table.answers_, entry.answer_) ? 1 : 0;
+        }
+      }
+    }
+    std::size_t bytes = 0;
+    for (const auto& [number, answer] : table.answers_.byNumber_) {
+      bytes += answer.text_.size();
+    }
+    RC_ASSERT(TicketCount(table) == entries);
+    RC_ASSERT(entries <= settings_.maxTickets_);
+    RC_ASSERT(table.answers_.bytes_ == bytes);
+    RC_ASSERT(table.answers_.byNumber_.size() == answers);
+    RC_ASSERT(bytes <= settings_.maxAnswerBytes_);
+    RC_ASSERT(UnfinishedTickets(table) == aNode.queued_.size() + aNode.running_.size());
+    RC_ASSERT(table.received_.incomplete_.size() <= kMaxIncompleteHandovers);
+  }
+
+  TicketSettings settings_;
+  Duration now_{ 0 };
+  std::vector<Executor> nodes_;
+  std::vector<IssuedTicket> issued_;
+  std::vector<Handover> mail_;
+  std::uint64_t requesters_ = 0;
+  std::uint64_t incarnations_ = 0;
+  int handovers_ = 0;
+};
+
+} // namespace fulmarway
