--- a/packages/policy/FailureDetector.cpp
+++ b/packages/policy/FailureDetector.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kDeadProbeInterval = std::chrono::seconds(5);
 constexpr std::size_t kHintProbes = 5;
 constexpr std::uint32_t kMaxHintProbes = 3;
+/** One in this many probes carries the own record, which keeps its ticket epoch current. */
+constexpr std::uint64_t kOwnRecordOneIn = 8;
 
 std::string
 AddressOf(const MembershipState& aState, NodeId aNode)
@@ -21,6 +23,13 @@
                                          : member->second.record_.identity_.peerAddress_;
 }
 
+const MemberRecord*
+RecordToRefute(const MemberEntry& aEntry)
+{
+  const MemberState state = aEntry.record_.state_;
+  return state == MemberState::kSuspect || state == MemberState::kDead ? &aEntry.record_ : nullptr;
+}
+
 void
 SendProbe(MembershipTurn& aTurn, const MemberEntry& aTarget)
 {
@@ -28,9 +37,11 @@
   const std::uint64_t number = state.nextNumber_++;
   const NodeIdentity& identity = aTarget.record_.identity_;
   state.probes_[number] = PendingProbe{ identity.id_, aTurn.now_ };
-  const bool failed =
-    aTarget.record_.state_ == MemberState::kSuspect || aTarget.record_.state_ == MemberState::kDead;
-  SendWithChanges(aTurn, identity.peerAddress_, Probe{ number, {} }, failed ? &aTarget : nullptr);
+  const MemberRecord* first = RecordToRefute(aTarget);
+  if (first == nullptr && NextRandom(state) % kOwnRecordOneIn == 0) {
+    first = &state.self_;
+  }
+  SendWithChanges(aTurn, identity.peerAddress_, Probe{ number, {} }, first);
 }
 
 void
@@ -81,8 +92,8 @@
   std::vector<std::string> seeds = state.seeds_;
   std::erase(seeds, state.self_.identity_.peerAddress_);
   if (!seeds.empty()) {
-    SendWithChanges(
-      aTurn, seeds[NextRandom(state) % seeds.size()], Probe{ state.nextNumber_++, {} });
+    const std::string& seed = seeds[NextRandom(state) % seeds.size()];
+    SendWithChanges(aTurn, seed, Probe{ state.nextNumber_++, {} }, &state.self_);
   }
 }
 
@@ -92,11 +103,39 @@
   MembershipState& state = aTurn.state_;
   std::size_t sent = 0;
   for (auto hint = state.hints_.begin(); hint != state.hints_.end() && sent < kHintProbes; ++sent) {
-    SendWithChanges(aTurn, hint->second.address_, Probe{ state.nextNumber_++, {} });
+    SendWithChanges(aTurn, hint->second.address_, Probe{ state.nextNumber_++, {} }, &state.self_);
     hint = ++hint->second.probes_ >= kMaxHintProbes ? state.hints_.erase(hint) : std::next(hint);
   }
 }
 
+/** Every peer is probed once in each round, in random order, which bounds the time until a lost one
+ * is noticed. */
+void
+ProbeNextPeer(MembershipTurn& aTurn)
+{
+  MembershipState& state = aTurn.state_;
+  const std::string& ownDomain = state.self_.identity_.domain_;
+  for (int refills = 0; refills < 2;) {
+    if (state.probeOrder_.empty()) {
+      ++refills;
+      const std::vector<const MemberEntry*> peers = OwnDomainPeers(state);
+      for (const MemberEntry* peer : Sample(state, peers, peers.size())) {
+        state.probeOrder_.push_back(peer->record_.identity_.id_);
+      }
+      if (state.probeOrder_.empty()) {
+        return;
+      }
+    }
+    const auto peer = state.members_.find(state.probeOrder_.back());
+    state.probeOrder_.pop_back();
+    if (peer != state.members_.end() && MayRun(peer->second.record_.state_) &&
+        peer->second.record_.identity_.domain_ == ownDomain) {
+      SendProbe(aTurn, peer->second);
+      return;
+    }
+  }
+}
+
 bool
 KnowsOtherDomain(const MembershipState& aState)
 {
@@ -142,13 +181,13 @@
 HandleProbe(MembershipTurn& aTurn, const GossipMessage& aMessage, const Probe& aBody)
 {
   const auto sender = aTurn.state_.members_.find(aMessage.sender_);
-  const bool failed = sender != aTurn.state_.members_.end() &&
-                      (sender->second.record_.state_ == MemberState::kSuspect ||
-                       sender->second.record_.state_ == MemberState::kDead);
+  // A sender that is not known yet, for example one that has this node as a seed, learns of it.
+  const MemberRecord* first =
+    sender == aTurn.state_.members_.end() ? &aTurn.state_.self_ : RecordToRefute(sender->second);
   SendWithChanges(aTurn,
                   aMessage.senderAddress_,
                   ProbeAck{ aBody.number_, aTurn.state_.self_.identity_.id_ },
-                  failed ? &sender->second : nullptr);
+                  first);
 }
 
 void
@@ -224,13 +263,10 @@
   CheckPendingProbes(aTurn);
   if (aTurn.now_ >= state.nextProbeAt_) {
     state.nextProbeAt_ = aTurn.now_ + state.settings_.probeInterval_;
-    const std::vector<const MemberEntry*> peers = OwnDomainPeers(state);
-    if (peers.empty() || !KnowsOtherDomain(state)) {
+    if (OwnDomainPeers(state).empty() || !KnowsOtherDomain(state)) {
       ProbeSeed(aTurn);
     }
-    for (const MemberEntry* peer : Sample(state, peers, 1)) {
-      SendProbe(aTurn, *peer);
-    }
+    ProbeNextPeer(aTurn);
     ProbeHints(aTurn);
   }
   if (aTurn.now_ >= state.nextDeadProbeAt_) {
--- a/packages/policy/GossipQueue.cpp
+++ b/packages/policy/GossipQueue.cpp
@@ -9,14 +9,24 @@
 namespace {
 
 constexpr std::size_t kMaxQueuedUpdates = 64;
-constexpr std::uint32_t kTransmitFactor = 3;
+constexpr std::uint32_t kTransmitFactor = 2;
 constexpr std::size_t kSpreadPeers = 3;
 /** A rumour that each receiver passes on to four others at once reaches 98% of them. */
 constexpr std::size_t kForwardPeers = 4;
 constexpr std::size_t kWideSpreadPeers = 8;
-/** What a node spends on reconciling tables: bursts when a node joins, little on average. */
-constexpr std::int64_t kBulkBurstBytes = 32'768;
-constexpr std::int64_t kBulkBytesPerSecond = 4'096;
+struct AllowanceRate
+{
+  std::int64_t burst_;
+  std::int64_t bytesPerSecond_;
+};
+
+/** Reconciling tables: bursts when a node joins, little on average. */
+constexpr AllowanceRate kTableRate{ 49'152, 4'096 };
+/** Summaries alone would use up the allowance when many nodes start at once. */
+constexpr std::int64_t kTableReserve = 12'288;
+/** Passing on changes. Many changes at once take longer to spread, so that they do not use up the
+ * 6 KB a second of all control traffic. */
+constexpr AllowanceRate kChangeRate{ 8'192, 512 };
 /** During its first seconds a node learns the whole table, none of which is new to others. */
 constexpr Duration kQuietStart = std::chrono::seconds(10);
 
@@ -66,6 +76,30 @@
   return kTransmitFactor * static_cast<std::uint32_t>(std::bit_width(aState.members_.size() + 1));
 }
 
+void
+Earn(ByteAllowance& aAllowance, AllowanceRate aRate, Instant aNow)
+{
+  const auto elapsed =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aAllowance.countedAt_);
+  const std::int64_t earned = elapsed.count() * aRate.bytesPerSecond_ / 1000;
+  if (earned > 0) {
+    aAllowance.bytes_ = std::min(aRate.burst_, aAllowance.bytes_ + earned);
+    aAllowance.countedAt_ = aNow;
+  }
+}
+
+/** Takes the bytes unless the allowance is used up; the last taker may overdraw it. */
+bool
+Take(ByteAllowance& aAllowance, AllowanceRate aRate, std::size_t aBytes, Instant aNow)
+{
+  Earn(aAllowance, aRate, aNow);
+  if (aAllowance.bytes_ <= 0) {
+    return false;
+  }
+  aAllowance.bytes_ -= static_cast<std::int64_t>(aBytes);
+  return true;
+}
+
 /** Adds queued changes, those that were sent least first, until the message is full. */
 void
 AddChanges(MembershipTurn& aTurn, GossipMessage& aMessage)
@@ -84,9 +118,11 @@
       continue;
     }
     const MemberRecord record = CurrentRecord(state, member->second, aTurn.now_);
-    bytes += EstimateBytes(record);
+    const std::size_t recordBytes = EstimateBytes(record);
+    bytes += recordBytes;
     if (aMessage.updates_.size() >= state.settings_.updatesPerMessage_ ||
-        bytes > kMaxDatagramBytes) {
+        bytes > kMaxDatagramBytes ||
+        !Take(state.changeBytes_, kChangeRate, recordBytes, aTurn.now_)) {
       return;
     }
     aMessage.updates_.push_back(record);
@@ -101,7 +137,7 @@
 void
 SendOwnRecord(MembershipTurn& aTurn, const std::string& aAddress)
 {
-  SendWithChanges(aTurn, aAddress, CarrierOf(aTurn.state_));
+  SendWithChanges(aTurn, aAddress, CarrierOf(aTurn.state_), &aTurn.state_.self_);
 }
 
 } // namespace
@@ -152,12 +188,11 @@
 SendWithChanges(MembershipTurn& aTurn,
                 const std::string& aAddress,
                 GossipBody aBody,
-                const MemberEntry* aExtra)
+                const MemberRecord* aFirst)
 {
   GossipMessage message = MakeMessage(aTurn.state_, std::move(aBody));
-  message.updates_.push_back(aTurn.state_.self_);
-  if (aExtra != nullptr) {
-    message.updates_.push_back(CurrentRecord(aTurn.state_, *aExtra, aTurn.now_));
+  if (aFirst != nullptr) {
+    message.updates_.push_back(*aFirst);
   }
   AddChanges(aTurn, message);
   SendMessage(aTurn, aAddress, std::move(message));
@@ -171,7 +206,7 @@
   GossipMessage message = MakeMessage(aTurn.state_, RecordsReply{});
   std::size_t bytes = EstimateBytes(message);
   const auto flush = [&] {
-    const bool allowed = TakeBulkBytes(aTurn, bytes);
+    const bool allowed = TakeTableBytes(aTurn, bytes);
     if (allowed) {
       SendMessage(aTurn, aAddress, message);
     }
@@ -240,21 +275,23 @@
 }
 
 bool
-TakeBulkBytes(MembershipTurn& aTurn, std::size_t aBytes)
+TakeTableBytes(MembershipTurn& aTurn, std::size_t aBytes)
 {
-  MembershipState& state = aTurn.state_;
-  const std::int64_t earned =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTurn.now_ - state.bulkBytesAt_).count() *
-    kBulkBytesPerSecond / 1000;
-  if (earned > 0) {
-    state.bulkBytes_ = std::min(kBulkBurstBytes, state.bulkBytes_ + earned);
-    state.bulkBytesAt_ = aTurn.now_;
-  }
-  if (state.bulkBytes_ <= 0) {
-    return false;
-  }
-  state.bulkBytes_ -= static_cast<std::int64_t>(aBytes);
-  return true;
+  return Take(aTurn.state_.tableBytes_, kTableRate, aBytes, aTurn.now_);
+}
+
+bool
+MayReconcile(MembershipTurn& aTurn)
+{
+  Earn(aTurn.state_.tableBytes_, kTableRate, aTurn.now_);
+  return aTurn.state_.tableBytes_.bytes_ >= kTableReserve;
+}
+
+void
+FillAllowances(MembershipState& aState, Instant aNow)
+{
+  aState.tableBytes_ = { kTableRate.burst_, aNow };
+  aState.changeBytes_ = { kChangeRate.burst_, aNow };
 }
 
 } // namespace fulmarway
--- a/packages/policy/GossipQueue.h
+++ b/packages/policy/GossipQueue.h
@@ -30,12 +30,13 @@
 void
 SendMessage(MembershipTurn& aTurn, const std::string& aAddress, GossipMessage aMessage);
 
-/** Sends a message with the own record, an extra record if there is one, and recent changes. */
+/** Sends a message with recent changes and one record before them: of a member that is to refute
+ * it, or the own one. */
 void
 SendWithChanges(MembershipTurn& aTurn,
                 const std::string& aAddress,
                 GossipBody aBody,
-                const MemberEntry* aExtra = nullptr);
+                const MemberRecord* aFirst = nullptr);
 
 /** Sends the records, split over as many datagrams as needed. */
 void
@@ -62,6 +63,14 @@
 
 /** Takes bytes from the allowance for records and summaries; false when it is used up. */
 bool
-TakeBulkBytes(MembershipTurn& aTurn, std::size_t aBytes);
+TakeTableBytes(MembershipTurn& aTurn, std::size_t aBytes);
+
+/** Whether enough of the allowance is left for summaries and the records that they lead to. */
+bool
+MayReconcile(MembershipTurn& aTurn);
+
+/** Full allowances, as at the start of a node. */
+void
+FillAllowances(MembershipState& aState, Instant aNow);
 
 } // namespace fulmarway
--- a/packages/policy/MemberDigest.cpp
+++ b/packages/policy/MemberDigest.cpp
@@ -14,6 +14,9 @@
 constexpr char kReachPrefix = '!';
 constexpr std::size_t kSummariesPerMessage = 50;
 constexpr std::size_t kNodesPerRequest = 120;
+/** Failure domains that one exchange reconciles, so that their summaries leave enough of the
+ * allowance for records. */
+constexpr std::size_t kDomainsPerExchange = 2;
 /** Share of the keeping time during which records of nodes that left are offered to others. */
 constexpr int kOfferPercent = 80;
 
@@ -51,9 +54,9 @@
 std::uint64_t
 DigestOfAll(const MembershipState& aState)
 {
-  std::uint64_t sum = 0;
-  for (const auto& [domain, hash] : DigestsByDomain(aState)) {
-    sum += hash;
+  std::uint64_t sum = MayRun(aState.self_.state_) ? HashOf(aState.self_) : 0;
+  for (const auto& [id, entry] : aState.members_) {
+    sum += MayRun(entry.record_.state_) ? HashOf(entry.record_) : 0;
   }
   return sum;
 }
@@ -103,7 +106,7 @@
       MakeMessage(aTurn.state_,
                   SummaryExchange{ { summaries.begin() + static_cast<std::ptrdiff_t>(from),
                                      summaries.begin() + static_cast<std::ptrdiff_t>(to) } });
-    if (!TakeBulkBytes(aTurn, EstimateBytes(message))) {
+    if (!TakeTableBytes(aTurn, EstimateBytes(message))) {
       return;
     }
     SendMessage(aTurn, aAddress, std::move(message));
@@ -114,43 +117,65 @@
 AnswerDigestOfAll(MembershipTurn& aTurn, const GossipMessage& aMessage, std::uint64_t aHash)
 {
   MembershipState& state = aTurn.state_;
-  const Digests own = DigestsByDomain(state);
   const bool equal = DigestOfAll(state) == aHash;
   const auto sender = state.members_.find(aMessage.sender_);
   const bool sameDomain = sender != state.members_.end() &&
                           sender->second.record_.identity_.domain_ == state.self_.identity_.domain_;
-  if (!equal) {
-    SendMessage(aTurn, aMessage.senderAddress_, MakeMessage(state, ListOf(own)));
+  if (!equal && MayReconcile(aTurn)) {
+    SendMessage(aTurn, aMessage.senderAddress_, MakeMessage(state, ListOf(DigestsByDomain(state))));
   }
   if (sameDomain && state.delegateSince_) {
     SendReach(aTurn, aMessage.senderAddress_);
-  } else if (equal) {
+  } else if (equal || !MayReconcile(aTurn)) {
     SendMessage(aTurn, aMessage.senderAddress_, MakeMessage(state, CarrierOf(state)));
   }
 }
 
-void
-CompareDomains(MembershipTurn& aTurn, const GossipMessage& aMessage, const Digests& aTheirs)
+/** Domains whose hash differs or that one side lacks, the own one first, then drawn at random. */
+std::set<std::string>
+DomainsToReconcile(MembershipState& aState, const Digests& aOwn, const Digests& aTheirs)
 {
-  const Digests own = DigestsByDomain(aTurn.state_);
-  std::set<std::string> differing;
-  DigestExchange ask;
+  std::vector<std::string> differing;
   for (const auto& [domain, hash] : aTheirs) {
-    const auto mine = own.find(domain);
-    if (mine == own.end() || mine->second != hash) {
-      differing.insert(domain);
-      ask.digests_.push_back({ kAskPrefix + domain, hash });
+    const auto mine = aOwn.find(domain);
+    if (mine == aOwn.end() || mine->second != hash) {
+      differing.push_back(domain);
     }
   }
-  for (const auto& [domain, hash] : own) {
+  for (const auto& [domain, hash] : aOwn) {
     if (!aTheirs.contains(domain)) {
-      differing.insert(domain);
+      differing.push_back(domain);
+    }
+  }
+  std::set<std::string> chosen;
+  const std::string& ownDomain = aState.self_.identity_.domain_;
+  if (std::find(differing.begin(), differing.end(), ownDomain) != differing.end()) {
+    chosen.insert(ownDomain);
+  }
+  while (chosen.size() < std::min(kDomainsPerExchange, differing.size())) {
+    chosen.insert(differing[NextRandom(aState) % differing.size()]);
+  }
+  return chosen;
+}
+
+void
+CompareDomains(MembershipTurn& aTurn, const GossipMessage& aMessage, const Digests& aTheirs)
+{
+  if (!MayReconcile(aTurn)) {
+    return;
+  }
+  const Digests own = DigestsByDomain(aTurn.state_);
+  const std::set<std::string> chosen = DomainsToReconcile(aTurn.state_, own, aTheirs);
+  DigestExchange ask;
+  for (const std::string& domain : chosen) {
+    if (aTheirs.contains(domain)) {
+      ask.digests_.push_back({ kAskPrefix + domain, 0 });
     }
   }
   if (!ask.digests_.empty()) {
     SendMessage(aTurn, aMessage.senderAddress_, MakeMessage(aTurn.state_, std::move(ask)));
   }
-  SendSummaries(aTurn, aMessage.senderAddress_, differing);
+  SendSummaries(aTurn, aMessage.senderAddress_, chosen);
 }
 
 void
@@ -274,7 +299,7 @@
   if (!byDomain.empty()) {
     CompareDomains(aTurn, aMessage, byDomain);
   }
-  if (!asked.empty()) {
+  if (!asked.empty() && MayReconcile(aTurn)) {
     SendSummaries(aTurn, aMessage.senderAddress_, asked);
   }
 }
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -17,11 +17,15 @@
 /** A delegate compares its table with another domain's this often, see section 10. */
 constexpr Duration kDelegateDigestInterval = std::chrono::seconds(1);
 constexpr Duration kDigestInterval = std::chrono::seconds(2);
+/** While a peer's table brings news, the next digest is sent sooner. */
+constexpr Duration kDigestIntervalWithNews = std::chrono::milliseconds(500);
 /** One in this many digests inside the domain goes to a delegate, which also knows what other
  * domains can be reached. */
-constexpr std::uint64_t kDelegateOneIn = 4;
+constexpr std::uint64_t kDelegateOneIn = 8;
 /** After this silence of the delegates any member of the domain is asked. */
 constexpr Duration kDelegatesSilent = std::chrono::seconds(2);
+/** Going over all members costs most of the work of a call at 890 nodes. */
+constexpr Duration kTableInterval = std::chrono::milliseconds(500);
 constexpr Duration kOwnStateRepeat = std::chrono::milliseconds(400);
 constexpr std::uint32_t kOwnStateRepeats = 2;
 constexpr std::size_t kMaxHints = 1024;
@@ -175,9 +179,9 @@
   state.nextProbeAt_ = aNow;
   state.nextDigestAt_ = aNow;
   state.nextDelegateDigestAt_ = aNow;
+  state.nextTableAt_ = aNow;
   state.nextDeadProbeAt_ = aNow;
-  state.bulkBytes_ = 32'768;
-  state.bulkBytesAt_ = aNow;
+  FillAllowances(state, aNow);
   return state;
 }
 
@@ -194,8 +198,13 @@
     const RecordSource source = std::holds_alternative<RecordsReply>(aMessage.body_)
                                   ? RecordSource::kTable
                                   : RecordSource::kChange;
+    bool news = false;
     for (const MemberRecord& record : aMessage.updates_) {
-      MergeRecord(aTurn, record, source);
+      news = MergeRecord(aTurn, record, source) || news;
+    }
+    if (news && source == RecordSource::kTable) {
+      aTurn.state_.nextDigestAt_ =
+        std::min(aTurn.state_.nextDigestAt_, aNow + kDigestIntervalWithNews);
     }
     NoteSender(aTurn, aMessage);
     std::visit(BodyHandler{ aTurn, aMessage }, aMessage.body_);
@@ -239,7 +248,10 @@
     state.advancedAt_ = aNow;
     AdvanceProbes(aTurn);
     AdvanceReach(aTurn);
-    AdvanceTable(aTurn);
+    if (aNow >= state.nextTableAt_) {
+      state.nextTableAt_ = aNow + kTableInterval;
+      AdvanceTable(aTurn);
+    }
     AdvanceDigests(aTurn);
     RepeatOwnState(aTurn);
   });
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -125,6 +125,15 @@
   bool operator==(const MemberHint&) const = default;
 };
 
+/** Bytes that may be sent now, and when they were counted. */
+struct ByteAllowance
+{
+  std::int64_t bytes_ = 0;
+  Instant countedAt_;
+
+  bool operator==(const ByteAllowance&) const = default;
+};
+
 struct MembershipState
 {
   MembershipSettings settings_;
@@ -140,6 +149,8 @@
   std::map<NodeId, MemberHint> hints_;
   /** Members of the own domain that are still to be told which domains cannot be reached. */
   std::vector<NodeId> reachNotices_;
+  /** Members of the own domain in random order, those to be probed next at the end. */
+  std::vector<NodeId> probeOrder_;
   std::uint64_t nextNumber_ = 1;
   std::uint64_t random_ = 0;
   Instant startedAt_;
@@ -147,14 +158,14 @@
   Instant nextProbeAt_;
   Instant nextDigestAt_;
   Instant nextDelegateDigestAt_;
+  Instant nextTableAt_;
   Instant nextDeadProbeAt_;
   std::optional<Instant> delegateSince_;
   /** The own state is sent out again at this time, because the first messages may be lost. */
   std::optional<Instant> repeatOwnStateAt_;
   std::uint32_t ownStateRepeats_ = 0;
-  /** Bytes that may be spent on records and summaries now, and when they were counted. */
-  std::int64_t bulkBytes_ = 0;
-  Instant bulkBytesAt_;
+  ByteAllowance tableBytes_;
+  ByteAllowance changeBytes_;
 
   bool operator==(const MembershipState&) const = default;
 };
--- a/packages/policy/tests/MemberNetwork.h
+++ b/packages/policy/tests/MemberNetwork.h
@@ -76,6 +76,23 @@
     ScheduleTick(id, Random() % 100'000);
   }
 
+  /** Every node gets every record, as after a long run. */
+  void ShareAllRecords()
+  {
+    GossipMessage message;
+    for (const auto& [id, node] : nodes_) {
+      message.updates_.push_back(node.state_.self_);
+    }
+    message.body_ = RecordsReply{};
+    for (const auto& [id, node] : nodes_) {
+      message.sender_ = id;
+      message.incarnation_ = node.identity_.incarnation_;
+    }
+    for (const NodeId id : order_) {
+      Apply(id, HandleGossip(Take(id), message, Random(), now_));
+    }
+  }
+
   /** The process ends and a new one with the same address starts. */
   void Restart(NodeId aId, std::uint64_t aGeneration)
   {
@@ -99,9 +116,13 @@
 
   void Pause(NodeId aId) { nodes_.at(aId).paused_ = true; }
 
-  void Resume(NodeId aId)
+  /** Datagrams of the time of the pause are delivered, or lost when the whole VM was paused. */
+  void Resume(NodeId aId, bool aKeepDatagrams = true)
   {
     nodes_.at(aId).paused_ = false;
+    if (!aKeepDatagrams) {
+      held_.erase(aId);
+    }
     for (GossipMessage& message : held_[aId]) {
       events_.emplace(now_, Delivery{ aId, std::move(message) });
     }
@@ -122,6 +143,13 @@
     Partition([](const SimulatedNode&) { return 0; });
   }
 
+  /** Cuts the path between two nodes in both directions. */
+  void CutPath(NodeId aOne, NodeId aOther)
+  {
+    cut_.emplace(aOne, aOther);
+    cut_.emplace(aOther, aOne);
+  }
+
   void Run(Duration aDuration)
   {
     const Instant end = now_ + aDuration;
@@ -253,7 +281,8 @@
     aFrom.bytesSent_ += payload + kIpAndUdpHeader;
     const NodeId to = NodeIdOf(aOutgoing.address_);
     const auto receiver = nodes_.find(to);
-    if (receiver == nodes_.end() || receiver->second.group_ != aFrom.group_) {
+    if (receiver == nodes_.end() || receiver->second.group_ != aFrom.group_ ||
+        cut_.contains({ aFrom.identity_.id_, to })) {
       return;
     }
     const int copies = 1 + Chance(faults_.duplicatePercent_);
@@ -295,6 +324,7 @@
   std::vector<NodeId> order_;
   std::multimap<Instant, Delivery> events_;
   std::map<NodeId, std::vector<GossipMessage>> held_;
+  std::set<std::pair<NodeId, NodeId>> cut_;
   std::size_t largestDatagram_ = 0;
 };
 
--- /dev/null
+++ b/packages/policy/tests/MembershipFailureTest.cpp
@@ -0,0 +1,205 @@
+/** \file
+ * Guards against members that are lost without being noticed, and against running ones that are
+ * taken for dead after a pause, a restart or a partition.
+ */
+#include "policy/tests/MemberNetwork.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+using namespace fulmarway::tests;
+
+namespace {
+
+MemberNetwork
+Started(int aNodes, int aDomains, std::uint64_t aSeed, NetworkFaults aFaults = {})
+{
+  MemberNetwork network(aSeed);
+  network.SetFaults(aFaults);
+  network.AddNodes(aNodes, aDomains);
+  cr_assert(
+    network.RunUntil(std::chrono::seconds(30), [&] { return network.Converged(); }).has_value());
+  return network;
+}
+
+int
+DomainGroup(const SimulatedNode& aNode)
+{
+  return aNode.identity_.domain_ == "domain-0" ? 1 : 0;
+}
+
+/** Nodes that were ever seen in the state by anyone. */
+std::set<NodeId>
+EverSeen(MemberNetwork& aNetwork, MemberState aState)
+{
+  std::set<NodeId> seen;
+  for (const auto& [id, node] : aNetwork.Nodes()) {
+    for (const auto& [member, states] : node.firstSeen_) {
+      if (states.contains(aState)) {
+        seen.insert(member);
+      }
+    }
+  }
+  return seen;
+}
+
+void
+ClearSeen(MemberNetwork& aNetwork)
+{
+  for (auto& [id, node] : aNetwork.Nodes()) {
+    node.firstSeen_.clear();
+  }
+}
+
+} // namespace
+
+Test(membership_failure, a_lost_node_is_dead_everywhere_within_twelve_seconds)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    MemberNetwork network = Started(13, 3, seed);
+    const NodeId lost = network.IdAt(seed);
+    network.Stop(lost);
+    const auto took = network.RunUntil(std::chrono::seconds(12), [&] {
+      return network.CountSeeing(lost, MemberState::kDead) == network.RunningOthers(lost);
+    });
+    cr_assert(took.has_value(), "seed %d", static_cast<int>(seed));
+    cr_log_info(
+      "seed %d: %.1f s", static_cast<int>(seed), static_cast<double>(took->count()) / 1e6);
+    cr_assert(EverSeen(network, MemberState::kDead) == std::set<NodeId>{ lost });
+  }
+}
+
+Test(membership_failure, loss_of_datagrams_alone_kills_nobody)
+{
+  MemberNetwork network = Started(13, 3, 5, { 15, 5, 20 });
+  ClearSeen(network);
+  network.Run(std::chrono::minutes(5));
+  cr_assert(EverSeen(network, MemberState::kDead).empty());
+}
+
+Test(membership_failure, an_unreachable_peer_with_helpers_is_not_suspected)
+{
+  // Indirect probes reach a member whose direct path from one node is cut.
+  MemberNetwork network = Started(6, 1, 9);
+  const std::string first = MemberNetwork::AddressOf(0);
+  const std::string second = MemberNetwork::AddressOf(1);
+  network.CutPath(NodeIdOf(first), NodeIdOf(second));
+  ClearSeen(network);
+  network.Run(std::chrono::minutes(1));
+  cr_assert(EverSeen(network, MemberState::kDead).empty());
+  cr_assert(EverSeen(network, MemberState::kSuspect).empty());
+}
+
+Test(membership_failure, a_restarted_node_replaces_its_record_everywhere)
+{
+  struct RestartCase
+  {
+    const char* name_;
+    std::uint64_t generation_;
+    Duration downFor_;
+  };
+  const RestartCase cases[] = {
+    { "later clock", 2'000'000, std::chrono::seconds(1) },
+    { "same generation", 1'000'000, std::chrono::seconds(1) },
+    { "clock set back", 10, std::chrono::seconds(1) },
+    { "after its death was noticed, clock set back", 10, std::chrono::seconds(15) },
+  };
+  for (const RestartCase& restart : cases) {
+    MemberNetwork network = Started(9, 3, 4);
+    const NodeId node = network.IdAt(2);
+    network.Stop(node);
+    network.Run(restart.downFor_);
+    network.Restart(node, restart.generation_);
+    const Incarnation incarnation = network.At(node).identity_.incarnation_;
+    const auto took = network.RunUntil(std::chrono::seconds(10), [&] {
+      for (const auto& [id, other] : network.Nodes()) {
+        const MemberRecord* record = FindMember(other.state_, node);
+        if (id != node && (record == nullptr || record->identity_.incarnation_ != incarnation ||
+                           record->state_ != MemberState::kAlive)) {
+          return false;
+        }
+      }
+      return true;
+    });
+    cr_assert(took.has_value(), "%s", restart.name_);
+  }
+}
+
+Test(membership_failure, a_paused_and_resumed_node_is_not_left_dead_and_kills_nobody)
+{
+  for (const int seconds : { 2, 5, 12, 90 }) {
+    MemberNetwork network = Started(9, 3, 6);
+    const NodeId paused = network.IdAt(1);
+    ClearSeen(network);
+    network.Pause(paused);
+    network.Run(std::chrono::seconds(seconds));
+    network.Resume(paused, seconds != 12);
+    const auto took =
+      network.RunUntil(std::chrono::seconds(5), [&] { return network.Converged(); });
+    cr_assert(took.has_value(), "pause of %d s", seconds);
+    network.Run(std::chrono::seconds(10));
+    cr_assert(network.Converged(), "pause of %d s", seconds);
+    std::set<NodeId> dead = EverSeen(network, MemberState::kDead);
+    dead.erase(paused);
+    cr_assert(dead.empty(), "pause of %d s", seconds);
+  }
+}
+
+Test(membership_failure, a_cut_off_domain_is_dead_for_the_others_and_returns)
+{
+  // 16 nodes in 4 domains: one more node in each domain than there are delegates.
+  MemberNetwork network = Started(16, 4, 8);
+  network.Partition(DomainGroup);
+  network.Run(std::chrono::seconds(4));
+  const NodeId member = network.IdAt(0);
+  const int outside = network.RunningOthers(member) - network.RunningOthers(member, "domain-0");
+  cr_assert_eq(network.CountSeeing(member, MemberState::kSuspect), outside);
+  network.Run(std::chrono::seconds(5));
+  for (const auto& [id, node] : network.Nodes()) {
+    const std::size_t expected = node.identity_.domain_ == "domain-0" ? 4 : 12;
+    cr_assert_eq(network.AliveSeenBy(id).size(), expected);
+  }
+  network.Run(std::chrono::minutes(10));
+  network.Heal();
+  const auto took = network.RunUntil(std::chrono::seconds(5), [&] { return network.Converged(); });
+  cr_assert(took.has_value());
+}
+
+Test(membership_failure, a_domain_that_only_one_other_cannot_reach_is_not_dead_for_the_rest)
+{
+  MemberNetwork network = Started(12, 3, 12);
+  for (const auto& [from, fromNode] : network.Nodes()) {
+    for (const auto& [to, toNode] : network.Nodes()) {
+      if (fromNode.identity_.domain_ == "domain-0" && toNode.identity_.domain_ == "domain-1") {
+        network.CutPath(from, to);
+      }
+    }
+  }
+  ClearSeen(network);
+  network.Run(std::chrono::minutes(2));
+  for (const auto& [id, node] : network.Nodes()) {
+    cr_assert_eq(network.AliveSeenBy(id).size(), node.identity_.domain_ == "domain-2" ? 12 : 8);
+    cr_assert(node.identity_.domain_ != "domain-2" || node.firstSeen_.empty());
+  }
+}
+
+Test(membership_failure, a_healed_partition_inside_a_domain_merges_without_seeds)
+{
+  MemberNetwork network(21);
+  network.AddNode(0, "domain-0", {});
+  for (int i = 1; i < 8; ++i) {
+    network.AddNode(i, "domain-0", { MemberNetwork::AddressOf(0) });
+  }
+  cr_assert(
+    network.RunUntil(std::chrono::seconds(30), [&] { return network.Converged(); }).has_value());
+  for (auto& [id, node] : network.Nodes()) {
+    node.state_.seeds_.clear();
+  }
+  network.Partition(
+    [](const SimulatedNode& aNode) { return static_cast<int>(aNode.identity_.id_.value_ & 1); });
+  network.Run(std::chrono::minutes(5));
+  cr_assert_lt(network.AliveSeenBy(network.IdAt(0)).size(), 8);
+  network.Heal();
+  const auto took = network.RunUntil(std::chrono::seconds(15), [&] { return network.Converged(); });
+  cr_assert(took.has_value());
+}
