Learn the concurrency limit and the admission level

Cause: the first version had a fixed limit and admitted every class until the queue was full. Ruled out: a limit cut in proportion to latency. A cut is now a trial that is undone when it does not help. Also ruled out: moving a baseline to one fast block at once.

--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** The queue is under pressure from a quarter of its bound on. */
+constexpr std::uint32_t kPressureDivisor = 4;
+
 std::uint32_t
 ShareOf(std::uint32_t aWhole, std::uint32_t aPercent)
 {
@@ -22,6 +25,15 @@
   return { slots, ShareOf(slots, aSettings.longSharePercent_) };
 }
 
+std::uint32_t
+CapOf(const AdmissionSettings& aSettings)
+{
+  return aSettings.operatorLimit_ == 0 ? aSettings.slots_
+                                       : std::min(aSettings.slots_, aSettings.operatorLimit_);
+}
+
+/** Of the limit in force rather than of the slots, so that long requests cannot take all of a
+ * lowered limit. */
 bool
 MayStartLong(const AdmissionState& aState)
 {
@@ -34,20 +46,69 @@
   return aState.running_.size() < LimitOf(aState);
 }
 
+/** Whether even a fast service time would miss the deadline. */
+bool
+IsTooLate(const AdmissionState& aState, const Arrival& aArrival, Instant aNow)
+{
+  const Duration needed =
+    std::max(FastServiceTimeOf(aState.fastTimes_, aArrival.kindKey_), Duration{ 1 });
+  return aNow + needed > aArrival.deadline_;
+}
+
+/** The own level is applied only under pressure: while slots are free or the queue is short,
+ * refusing would lose throughput. */
+bool
+IsUnderPressure(const AdmissionState& aState)
+{
+  return !HasFreeSlot(aState) &&
+         QueuedCount(aState) >=
+           std::max<std::uint32_t>(aState.settings_.slots_ / kPressureDivisor, 1);
+}
+
 void
 Start(AdmissionState& aState, AdmissionDecision& aDecision, const Arrival& aArrival, Instant aNow)
 {
-  aState.running_.emplace(aArrival.id_,
-                          RunningRequest{ aArrival.kindKey_, aNow, aArrival.longRunning_ });
-  aState.longRunning_ += aArrival.longRunning_ ? 1 : 0;
+  RunningRequest& running = aState.running_[aArrival.id_];
+  running = { aArrival.kindKey_, aNow, aArrival.longRunning_, std::nullopt };
+  if (aArrival.longRunning_) {
+    // Long requests wait for their share and vary too much to show how the backend server does, so
+    // neither the limit nor the level depends on them.
+    aState.longRunning_ += 1;
+  } else {
+    running.place_ = NoteServiceStart(aState.limit_, aArrival.kindKey_, RunningCount(aState), aNow);
+    NoteStart(aState.level_);
+  }
   aDecision.start_.push_back(aArrival.id_);
 }
 
+/** Queues an arrival. A request above the level is let into a queue under pressure only in the
+ * place of one of a lower class. */
+void
+EnqueueArrival(AdmissionState& aState,
+               AdmissionDecision& aDecision,
+               const Arrival& aArrival,
+               Instant aNow)
+{
+  const bool refuse = IsUnderPressure(aState) &&
+                      !IsAdmitted(LevelOf(aState), aArrival.importance_, aArrival.clickBucket_);
+  QueueBounds bounds = BoundsOf(aState.settings_);
+  const bool full = QueuedCount(aState) >= bounds.total_;
+  if (refuse) {
+    bounds.total_ = std::min<std::size_t>(bounds.total_, QueuedCount(aState));
+  }
+  if (const auto displaced = Enqueue(aState.queue_, aArrival, bounds, aNow)) {
+    aDecision.shed_.push_back({ *displaced, refuse ? Reason::kShedByLevel : Reason::kShedByQueue });
+    if (full) {
+      NoteOverflow(aState.level_);
+    }
+  }
+}
+
 void
 ShedLate(AdmissionState& aState, AdmissionDecision& aDecision, Instant aNow)
 {
   std::erase_if(aState.queue_.requests_, [&](const auto& aEntry) {
-    const bool late = aEntry.second.arrival_.deadline_ <= aNow;
+    const bool late = IsTooLate(aState, aEntry.second.arrival_, aNow);
     if (late) {
       aDecision.shed_.push_back({ aEntry.second.arrival_.id_, Reason::kDeadline });
     }
@@ -65,7 +126,7 @@
     if (!next) {
       return;
     }
-    if (next->arrival_.deadline_ <= aNow) {
+    if (IsTooLate(aState, next->arrival_, aNow)) {
       aDecision.shed_.push_back({ next->arrival_.id_, Reason::kDeadline });
     } else {
       Start(aState, aDecision, next->arrival_, aNow);
@@ -73,6 +134,31 @@
   }
 }
 
+/** Without long requests, which wait for their share and not for a slot. */
+std::size_t
+WaitingForSlot(const AdmissionState& aState)
+{
+  const auto& requests = aState.queue_.requests_;
+  return static_cast<std::size_t>(
+    std::count_if(requests.begin(), requests.end(), [](const auto& aEntry) {
+      return !aEntry.second.arrival_.longRunning_;
+    }));
+}
+
+void
+NoteEnd(AdmissionState& aState, const RunningRequest& aRequest, CompletionKind aKind, Instant aNow)
+{
+  if (aKind == CompletionKind::kSucceeded) {
+    NoteServiceTime(aState.fastTimes_, aRequest.kindKey_, aNow - aRequest.startedAt_, aNow);
+  }
+  if (!aRequest.longRunning_) {
+    const ServiceOutcome outcome = aKind == CompletionKind::kSucceeded ? ServiceOutcome::kCompleted
+                                   : aKind == CompletionKind::kFailed  ? ServiceOutcome::kVoid
+                                                                       : ServiceOutcome::kCensored;
+    NoteServiceEnd(aState.limit_, aRequest.place_, outcome, aNow);
+  }
+}
+
 } // namespace
 
 AdmissionState
@@ -80,6 +166,7 @@
 {
   AdmissionState state;
   state.settings_ = aSettings;
+  state.limit_ = MakeConcurrencyLimit(CapOf(aSettings));
   return state;
 }
 
@@ -87,6 +174,7 @@
 Configure(AdmissionState aState, const AdmissionSettings& aSettings, Instant aNow)
 {
   aState.settings_ = aSettings;
+  SetCap(aState.limit_, CapOf(aSettings));
   AdmissionDecision decision;
   FillSlots(aState, decision, aNow);
   for (const RequestId id : Trim(aState.queue_, BoundsOf(aState.settings_))) {
@@ -101,24 +189,29 @@
   if (aState.running_.contains(aArrival.id_) || IsQueued(aState.queue_, aArrival.id_)) {
     throw InternalError("request is already queued or running");
   }
+  if (!aArrival.longRunning_) {
+    NoteArrival(aState.level_,
+                AdmissionRank(aArrival.importance_, aArrival.clickBucket_),
+                WaitingForSlot(aState));
+  }
   AdmissionDecision decision;
-  if (aArrival.deadline_ <= aNow) {
+  if (IsTooLate(aState, aArrival, aNow)) {
     decision.shed_.push_back({ aArrival.id_, Reason::kDeadline });
   } else if (HasFreeSlot(aState) && (!aArrival.longRunning_ || MayStartLong(aState))) {
     Start(aState, decision, aArrival, aNow);
-  } else if (const auto displaced =
-               Enqueue(aState.queue_, aArrival, BoundsOf(aState.settings_), aNow)) {
-    decision.shed_.push_back({ *displaced, Reason::kShedByQueue });
+  } else {
+    EnqueueArrival(aState, decision, aArrival, aNow);
   }
   return { std::move(aState), std::move(decision) };
 }
 
 Step<AdmissionState, AdmissionDecision>
-Finish(AdmissionState aState, RequestId aId, CompletionKind, Instant aNow)
+Finish(AdmissionState aState, RequestId aId, CompletionKind aKind, Instant aNow)
 {
   AdmissionDecision decision;
   const auto found = aState.running_.find(aId);
   if (found != aState.running_.end()) {
+    NoteEnd(aState, found->second, aKind, aNow);
     aState.longRunning_ -= found->second.longRunning_ ? 1 : 0;
     aState.running_.erase(found);
     FillSlots(aState, decision, aNow);
@@ -137,23 +230,24 @@
 Advance(AdmissionState aState, Instant aNow)
 {
   AdmissionDecision decision;
+  DecayServiceTimes(aState.fastTimes_, aNow);
   ShedLate(aState, decision, aNow);
+  UpdateLimit(aState.limit_, !HasFreeSlot(aState), aNow);
+  UpdateLevel(aState.level_, WaitingForSlot(aState), TypicalServiceTime(aState.limit_));
   FillSlots(aState, decision, aNow);
   return { std::move(aState), std::move(decision) };
 }
 
 AdmissionLevel
-LevelOf(const AdmissionState&)
+LevelOf(const AdmissionState& aState)
 {
-  return kHighestAdmissionLevel;
+  return aState.level_.level_;
 }
 
 std::uint32_t
 LimitOf(const AdmissionState& aState)
 {
-  const std::uint32_t slots = std::max<std::uint32_t>(aState.settings_.slots_, 1);
-  return aState.settings_.operatorLimit_ == 0 ? slots
-                                              : std::min(slots, aState.settings_.operatorLimit_);
+  return aState.limit_.limit_;
 }
 
 std::uint32_t
--- a/packages/policy/Admission.h
+++ b/packages/policy/Admission.h
@@ -9,10 +9,14 @@
 #include "model/Step.h"
 #include "model/Time.h"
 #include "model/Verdict.h"
+#include "policy/AdmissionLevelControl.h"
 #include "policy/AdmissionQueue.h"
+#include "policy/ConcurrencyLimit.h"
+#include "policy/FastServiceTimes.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace fulmarway {
@@ -64,6 +68,8 @@
   std::uint64_t kindKey_ = 0;
   Instant startedAt_;
   bool longRunning_ = false;
+  /** Where the concurrency limit observes it; nullopt when it is not sampled. */
+  std::optional<BlockPlace> place_;
 
   auto operator<=>(const RunningRequest&) const = default;
 };
@@ -76,6 +82,9 @@
   /** Long requests among the running ones. */
   std::uint32_t longRunning_ = 0;
   AdmissionQueue queue_;
+  ConcurrencyLimit limit_;
+  AdmissionLevelControl level_;
+  FastServiceTimes fastTimes_;
 
   bool operator==(const AdmissionState&) const = default;
 };
--- /dev/null
+++ b/packages/policy/ConcurrencyLimit.cpp
@@ -0,0 +1,297 @@
+#include "policy/ConcurrencyLimit.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::size_t kLargeBlock = 24;
+/** With exponential service times, chance puts the median of a healthy block of 24 above twice, and
+ * of 12 above three times the typical value, about once in 1,000 blocks; two blocks are required.
+ */
+constexpr double kSlowLargeBlock = 2;
+constexpr double kSlowSmallBlock = 3;
+/** One block that is this slow is enough, so that a tenfold slowdown is noticed at once. */
+constexpr double kVerySlow = 4;
+/** At most this slow, the limit is raised. */
+constexpr double kHealthy = 2;
+/** Below this, an accepted slowdown has passed. */
+constexpr double kRecovered = 0.5;
+/** A trial that leaves more of the slowdown than this has not helped. Half the concurrency halves
+ * the service time when concurrency is the cause. */
+constexpr double kHelped = 0.75;
+constexpr std::uint32_t kCutDivisor = 2;
+constexpr std::uint32_t kEndsPerStepDown = 2;
+/** Raised by half: from a tenth of the slots the limit is back within 6 windows. */
+constexpr std::uint32_t kRaiseDivisor = 2;
+/** A trial with too few requests for a judgement ends after this long. A slowdown by a neighbour
+ * lasts about a second, so a longer trial would be judged by the time after it. */
+constexpr std::uint32_t kTrialWindows = 20;
+/** An accepted slowdown fades by half in 5 s, so that a wrong judgement is tried again. */
+constexpr double kForget = 0.986;
+
+struct BlockVerdict
+{
+  std::uint64_t number_ = 0;
+  /** Lower bound of the median slowdown; exact when final_. */
+  double slowdown_ = 1;
+  std::size_t count_ = 0;
+  bool final_ = false;
+};
+
+BlockVerdict
+JudgeBlock(const ConcurrencyLimit& aLimit, const StartBlock& aBlock, Instant aNow)
+{
+  std::vector<double> slowdowns;
+  for (const BlockEntry& entry : aBlock.entries_) {
+    const double typical = TypicalUs(aLimit.baselines_, entry.kindKey_);
+    if (typical > 0 && entry.outcome_ != ServiceOutcome::kVoid) {
+      const Instant end = entry.outcome_ == ServiceOutcome::kRunning ? aNow : entry.endedAt_;
+      slowdowns.push_back(static_cast<double>((end - entry.startedAt_).count()) /
+                          (typical * aLimit.acceptedSlowdown_));
+    }
+  }
+  BlockVerdict verdict{
+    aBlock.number_, 1, slowdowns.size(), aBlock.closed_ && HasMostlyEnded(aBlock)
+  };
+  if (!slowdowns.empty()) {
+    verdict.slowdown_ = Median(slowdowns);
+  }
+  return verdict;
+}
+
+bool
+IsSlow(const BlockVerdict& aVerdict)
+{
+  return aVerdict.slowdown_ > (aVerdict.count_ >= kLargeBlock ? kSlowLargeBlock : kSlowSmallBlock);
+}
+
+void
+SetLimit(ConcurrencyLimit& aLimit, std::uint32_t aValue)
+{
+  aLimit.limit_ = std::clamp<std::uint32_t>(aValue, 1, aLimit.cap_);
+}
+
+/** What is left of the slowdown is not due to concurrency. */
+void
+AcceptSlowdown(ConcurrencyLimit& aLimit, double aSlowdown)
+{
+  aLimit.acceptedSlowdown_ = std::max(1.0, aLimit.acceptedSlowdown_ * aSlowdown);
+  aLimit.lastSlowdown_ = 1;
+}
+
+/** Ends a trial that has not helped. */
+void
+EndTrial(ConcurrencyLimit& aLimit, double aSlowdown)
+{
+  AcceptSlowdown(aLimit, aSlowdown);
+  SetLimit(aLimit, aLimit.trial_->limitBefore_);
+  aLimit.trial_.reset();
+}
+
+void
+BeginTrial(ConcurrencyLimit& aLimit, double aSlowdown)
+{
+  const std::uint32_t used = std::min(aLimit.limit_, aLimit.peakRunning_);
+  aLimit.suspectBlock_.reset();
+  if (used <= 1) {
+    aLimit.trial_.reset();
+    AcceptSlowdown(aLimit, aSlowdown);
+    return;
+  }
+  aLimit.trial_ = LimitTrial{ .limitBefore_ = aLimit.limit_,
+                              .slowdownBefore_ = aSlowdown,
+                              .goal_ = used / kCutDivisor };
+  SetLimit(aLimit, used);
+}
+
+/** Called when the limit of the trial is reached: what starts from here on shows its effect. */
+void
+BeginMeasurement(ConcurrencyLimit& aLimit)
+{
+  BeginNewSeries(aLimit.blocks_);
+  aLimit.trial_->firstBlock_ = aLimit.blocks_.nextNumber_;
+}
+
+/** A block started before the goal was reached shows how slow it is without the trial. */
+void
+NoteBefore(LimitTrial& aTrial, const BlockVerdict& aVerdict)
+{
+  if (aVerdict.final_) {
+    aTrial.blocksBefore_ += 1;
+    const double change = aVerdict.slowdown_ - aTrial.slowdownBefore_;
+    aTrial.slowdownBefore_ += change / aTrial.blocksBefore_;
+  } else if (aTrial.blocksBefore_ == 0) {
+    aTrial.slowdownBefore_ = std::max(aTrial.slowdownBefore_, aVerdict.slowdown_);
+  }
+}
+
+void
+JudgeTrial(ConcurrencyLimit& aLimit, const BlockVerdict& aVerdict)
+{
+  LimitTrial& trial = *aLimit.trial_;
+  if (!trial.firstBlock_ || aVerdict.number_ < *trial.firstBlock_) {
+    NoteBefore(trial, aVerdict);
+  } else if (aVerdict.slowdown_ > kHelped * trial.slowdownBefore_) {
+    EndTrial(aLimit, aVerdict.slowdown_);
+  } else if (aVerdict.final_ && IsSlow(aVerdict)) {
+    BeginTrial(aLimit, aVerdict.slowdown_);
+  } else if (aVerdict.final_) {
+    aLimit.trial_.reset();
+  }
+}
+
+/** A judgement outside a trial. */
+void
+JudgeLimit(ConcurrencyLimit& aLimit, const BlockVerdict& aVerdict)
+{
+  if (IsSlow(aVerdict)) {
+    const bool confirmed = aLimit.suspectBlock_ && *aLimit.suspectBlock_ != aVerdict.number_;
+    aLimit.suspectBlock_ = aVerdict.number_;
+    if (confirmed || aVerdict.slowdown_ > kVerySlow) {
+      BeginTrial(aLimit, aVerdict.slowdown_);
+    }
+    return;
+  }
+  aLimit.suspectBlock_.reset();
+  if (aVerdict.slowdown_ < kRecovered) {
+    aLimit.acceptedSlowdown_ = std::max(1.0, aLimit.acceptedSlowdown_ * aVerdict.slowdown_);
+  }
+}
+
+void
+Judge(ConcurrencyLimit& aLimit, const BlockVerdict& aVerdict)
+{
+  aLimit.lastSlowdown_ = aVerdict.slowdown_;
+  if (aLimit.trial_) {
+    JudgeTrial(aLimit, aVerdict);
+  } else {
+    JudgeLimit(aLimit, aVerdict);
+  }
+}
+
+void
+RaiseWhenHealthy(ConcurrencyLimit& aLimit, bool aObserved)
+{
+  if (aLimit.trial_) {
+    aLimit.trial_->windows_ += 1;
+    if (aLimit.trial_->windows_ > kTrialWindows) {
+      EndTrial(aLimit, aLimit.trial_->slowdownBefore_);
+    }
+  } else if (!aObserved || aLimit.lastSlowdown_ <= kHealthy) {
+    SetLimit(aLimit, aLimit.limit_ + aLimit.limit_ / kRaiseDivisor + 1);
+  }
+}
+
+/** Judges all blocks, then the newest exact judgement and those after it move the limit. Returns
+ * whether there was any. */
+bool
+JudgeBlocks(ConcurrencyLimit& aLimit, Instant aNow)
+{
+  for (const StartBlock& block : aLimit.blocks_.blocks_) {
+    const BlockVerdict verdict = JudgeBlock(aLimit, block, aNow);
+    if (verdict.final_ && verdict.count_ >= kMinBlockSize) {
+      aLimit.newestFinal_ = std::max(aLimit.newestFinal_, block.number_);
+    }
+  }
+  bool judged = false;
+  for (const StartBlock& block : aLimit.blocks_.blocks_) {
+    const BlockVerdict verdict = JudgeBlock(aLimit, block, aNow);
+    if (block.number_ >= aLimit.newestFinal_ && verdict.count_ >= kMinBlockSize &&
+        (verdict.final_ || IsSlow(verdict))) {
+      judged = true;
+      Judge(aLimit, verdict);
+    }
+  }
+  return judged;
+}
+
+/** Learns from the blocks that have ended and drops them. Only one moves the baselines in a window,
+ * so that they drift at a fixed rate. */
+void
+LearnFromBlocks(ConcurrencyLimit& aLimit, Instant aNow)
+{
+  bool mayDrift = !aLimit.trial_ && aLimit.limit_ >= aLimit.cap_;
+  std::erase_if(aLimit.blocks_.blocks_, [&](const StartBlock& aBlock) {
+    if (!aBlock.closed_ || !HasMostlyEnded(aBlock)) {
+      return false;
+    }
+    LearnBaselines(aLimit.baselines_, aBlock, { aLimit.acceptedSlowdown_, mayDrift }, aNow);
+    mayDrift = false;
+    aLimit.typicalUs_ = TypicalUs(aLimit.baselines_, aBlock);
+    return true;
+  });
+}
+
+} // namespace
+
+ConcurrencyLimit
+MakeConcurrencyLimit(std::uint32_t aCap)
+{
+  ConcurrencyLimit limit;
+  limit.cap_ = std::max<std::uint32_t>(aCap, 1);
+  limit.limit_ = limit.cap_;
+  return limit;
+}
+
+void
+SetCap(ConcurrencyLimit& aLimit, std::uint32_t aCap)
+{
+  const bool atCap = aLimit.limit_ >= aLimit.cap_;
+  aLimit.cap_ = std::max<std::uint32_t>(aCap, 1);
+  SetLimit(aLimit, atCap ? aLimit.cap_ : aLimit.limit_);
+}
+
+std::optional<BlockPlace>
+NoteServiceStart(ConcurrencyLimit& aLimit,
+                 std::uint64_t aKindKey,
+                 std::uint32_t aRunning,
+                 Instant aNow)
+{
+  aLimit.peakRunning_ = std::max(aLimit.peakRunning_, aRunning);
+  return AddStart(aLimit.blocks_, aKindKey, aNow);
+}
+
+void
+NoteServiceEnd(ConcurrencyLimit& aLimit,
+               const std::optional<BlockPlace>& aPlace,
+               ServiceOutcome aOutcome,
+               Instant aNow)
+{
+  if (aPlace) {
+    MarkEnd(aLimit.blocks_, *aPlace, aOutcome, aNow);
+  }
+  if (!aLimit.trial_ || aLimit.trial_->firstBlock_) {
+    return;
+  }
+  aLimit.trial_->ended_ += 1;
+  if (aLimit.limit_ > aLimit.trial_->goal_ && aLimit.trial_->ended_ >= kEndsPerStepDown) {
+    aLimit.trial_->ended_ = 0;
+    SetLimit(aLimit, aLimit.limit_ - 1);
+  }
+  if (aLimit.limit_ <= aLimit.trial_->goal_) {
+    BeginMeasurement(aLimit);
+  }
+}
+
+void
+UpdateLimit(ConcurrencyLimit& aLimit, bool aSaturated, Instant aNow)
+{
+  // A trial compares two medians, so its block has to be larger.
+  CloseOpenBlock(aLimit.blocks_, aLimit.trial_ ? kLargeBlock : kMinBlockSize);
+  aLimit.acceptedSlowdown_ = std::max(1.0, aLimit.acceptedSlowdown_ * kForget);
+  const bool judged = JudgeBlocks(aLimit, aNow);
+  LearnFromBlocks(aLimit, aNow);
+  RaiseWhenHealthy(aLimit, judged || aSaturated);
+  aLimit.peakRunning_ = 0;
+}
+
+Duration
+TypicalServiceTime(const ConcurrencyLimit& aLimit)
+{
+  return Duration(static_cast<Duration::rep>(aLimit.typicalUs_));
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/FastServiceTimes.cpp
@@ -0,0 +1,69 @@
+#include "policy/FastServiceTimes.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+namespace {
+
+/** Fewer completions give no estimate; it then starts at the fastest of them. */
+constexpr std::uint32_t kMinObserved = 8;
+/** The ratio of the steps makes one completion in ten faster than the estimate. Down is the larger
+ * step, because an estimate that is too high refuses requests that could finish. */
+constexpr double kStepUp = 0.01;
+constexpr double kStepDown = 0.09;
+constexpr Duration kConfirmedFor = std::chrono::seconds(1);
+constexpr double kDecay = 0.8;
+
+FastServiceTime&
+Touch(FastServiceTimes& aTimes, std::uint64_t aKindKey)
+{
+  if (!aTimes.contains(aKindKey) && aTimes.size() >= kMaxFastServiceTimes) {
+    aTimes.erase(
+      std::min_element(aTimes.begin(), aTimes.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.lastSeen_ < aRight.second.lastSeen_;
+      }));
+  }
+  return aTimes[aKindKey];
+}
+
+} // namespace
+
+void
+NoteServiceTime(FastServiceTimes& aTimes,
+                std::uint64_t aKindKey,
+                Duration aServiceTime,
+                Instant aNow)
+{
+  FastServiceTime& time = Touch(aTimes, aKindKey);
+  const auto us = static_cast<double>(aServiceTime.count());
+  if (time.observed_ < kMinObserved) {
+    time.fastUs_ = time.observed_ == 0 ? us : std::min(time.fastUs_, us);
+    time.observed_ += 1;
+  } else {
+    time.fastUs_ *= us < time.fastUs_ ? 1 - kStepDown : 1 + kStepUp;
+  }
+  time.lastSeen_ = aNow;
+}
+
+void
+DecayServiceTimes(FastServiceTimes& aTimes, Instant aNow)
+{
+  for (auto& [kind, time] : aTimes) {
+    if (aNow - time.lastSeen_ > kConfirmedFor) {
+      time.fastUs_ *= kDecay;
+    }
+  }
+}
+
+Duration
+FastServiceTimeOf(const FastServiceTimes& aTimes, std::uint64_t aKindKey)
+{
+  const auto found = aTimes.find(aKindKey);
+  if (found == aTimes.end() || found->second.observed_ < kMinObserved) {
+    return Duration{ 0 };
+  }
+  return Duration(static_cast<Duration::rep>(found->second.fastUs_));
+}
+
+} // namespace fulmarway
--- a/packages/policy/RetryBudget.cpp
+++ b/packages/policy/RetryBudget.cpp
@@ -110,8 +110,8 @@
 {
   const TokenLoan loan = TakeLoan(aState, aAttempt);
   const auto pool = aState.pools_.find(loan.pool_);
-  if (pool != aState.pools_.end()) {
-    pool->second += std::min(aReturned, loan.tokens_);
+  if (pool != aState.pools_.end() && aReturned <= loan.tokens_) {
+    pool->second += aReturned;
   }
   return aState;
 }
--- a/packages/policy/RetryBudget.h
+++ b/packages/policy/RetryBudget.h
@@ -88,7 +88,8 @@
 Step<RetryBudget, std::uint32_t>
 LendTokens(RetryBudget aState, PoolId aPool, AttemptId aAttempt);
 
-/** The attempt ended and returned this many tokens; more than were lent are cut to the loan. */
+/** The attempt ended and returned this many tokens. More than were lent is a false report, so the
+ * whole loan counts as spent. */
 RetryBudget
 SettleLoan(RetryBudget aState, AttemptId aAttempt, std::uint32_t aReturned);
 
--- /dev/null
+++ b/packages/policy/ServiceBaseline.cpp
@@ -0,0 +1,126 @@
+#include "policy/ServiceBaseline.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace fulmarway {
+
+namespace {
+
+constexpr std::size_t kFirstSamples = 32;
+/** From this many samples on, a baseline moves by the settled step. */
+constexpr std::uint32_t kSettledSamples = 256;
+/** Steps for each window, 2% a second once settled. A faster baseline would follow a slowdown
+ * before it is noticed. */
+constexpr double kSettledStep = 0.002;
+constexpr double kLearningStep = 0.05;
+/** A kind this much faster than its baseline was learned on a slow backend server. The baseline
+ * then falls by half within a second; not at once, because one small block may be fast by chance.
+ */
+constexpr double kLearnedTooHigh = 0.5;
+constexpr double kCorrectionStep = 0.1;
+
+using TimesByKind = std::map<std::uint64_t, std::vector<double>>;
+
+/** Service times in microseconds; those that are not known count as longer than any other. */
+TimesByKind
+CollectTimes(const StartBlock& aBlock)
+{
+  TimesByKind times;
+  for (const BlockEntry& entry : aBlock.entries_) {
+    if (entry.outcome_ == ServiceOutcome::kCompleted) {
+      const Duration::rep us = (entry.endedAt_ - entry.startedAt_).count();
+      times[entry.kindKey_].push_back(static_cast<double>(std::max<Duration::rep>(us, 1)));
+    } else if (entry.outcome_ != ServiceOutcome::kVoid) {
+      times[entry.kindKey_].push_back(std::numeric_limits<double>::infinity());
+    }
+  }
+  return times;
+}
+
+KindBaseline&
+TouchBaseline(ServiceBaselines& aBaselines, std::uint64_t aKindKey, Instant aNow)
+{
+  if (!aBaselines.contains(aKindKey) && aBaselines.size() >= kMaxBaselines) {
+    aBaselines.erase(std::min_element(
+      aBaselines.begin(), aBaselines.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.lastSeen_ < aRight.second.lastSeen_;
+      }));
+  }
+  KindBaseline& baseline = aBaselines[aKindKey];
+  baseline.lastSeen_ = aNow;
+  return baseline;
+}
+
+void
+LearnFirst(KindBaseline& aBaseline, const std::vector<double>& aTimes)
+{
+  aBaseline.firstUs_.insert(aBaseline.firstUs_.end(), aTimes.begin(), aTimes.end());
+  if (aBaseline.firstUs_.size() < kFirstSamples) {
+    return;
+  }
+  const double median = Median(aBaseline.firstUs_);
+  aBaseline.firstUs_.clear();
+  aBaseline.typicalUs_ = std::isinf(median) ? 0 : median;
+}
+
+void
+MoveBaseline(KindBaseline& aBaseline, std::vector<double>& aTimes, const BaselineUpdate& aUpdate)
+{
+  const double relative = Median(aTimes) / (aBaseline.typicalUs_ * aUpdate.slowdown_);
+  if (relative < kLearnedTooHigh && aUpdate.slowdown_ <= 1) {
+    aBaseline.typicalUs_ *= 1 - kCorrectionStep;
+  } else if (aUpdate.mayDrift_) {
+    const double step = aBaseline.observed_ < kSettledSamples ? kLearningStep : kSettledStep;
+    aBaseline.typicalUs_ *= relative > 1 ? 1 + step : 1 - step;
+  }
+}
+
+} // namespace
+
+double
+TypicalUs(const ServiceBaselines& aBaselines, std::uint64_t aKindKey)
+{
+  const auto found = aBaselines.find(aKindKey);
+  return found == aBaselines.end() ? 0 : found->second.typicalUs_;
+}
+
+double
+TypicalUs(const ServiceBaselines& aBaselines, const StartBlock& aBlock)
+{
+  std::vector<double> typical;
+  for (const BlockEntry& entry : aBlock.entries_) {
+    if (const double value = TypicalUs(aBaselines, entry.kindKey_); value > 0) {
+      typical.push_back(value);
+    }
+  }
+  return typical.empty() ? 0 : Median(typical);
+}
+
+void
+LearnBaselines(ServiceBaselines& aBaselines,
+               const StartBlock& aBlock,
+               const BaselineUpdate& aUpdate,
+               Instant aNow)
+{
+  for (auto& [kind, times] : CollectTimes(aBlock)) {
+    KindBaseline& baseline = TouchBaseline(aBaselines, kind, aNow);
+    baseline.observed_ += static_cast<std::uint32_t>(times.size());
+    if (baseline.typicalUs_ <= 0) {
+      LearnFirst(baseline, times);
+    } else {
+      MoveBaseline(baseline, times, aUpdate);
+    }
+  }
+}
+
+double
+Median(std::vector<double>& aValues)
+{
+  const auto middle = aValues.begin() + static_cast<std::ptrdiff_t>((aValues.size() - 1) / 2);
+  std::nth_element(aValues.begin(), middle, aValues.end());
+  return *middle;
+}
+
+} // namespace fulmarway
--- a/packages/policy/tests/AdmissionQueueTest.cpp
+++ b/packages/policy/tests/AdmissionQueueTest.cpp
@@ -1,7 +1,7 @@
 /** \file
  * Guards against a queue that serves, displaces or bounds requests in the wrong order.
  */
-#include "policy/Admission.h"
+#include "AdmissionFixture.h"
 
 #include <criterion/criterion.h>
 
@@ -9,29 +9,6 @@
 
 namespace {
 
-Instant
-At(std::int64_t aMilliseconds)
-{
-  return Instant{ std::chrono::milliseconds(aMilliseconds) };
-}
-
-Arrival
-MakeArrival(std::uint64_t aId, Importance aImportance, std::int64_t aDeadlineMs, bool aLong = false)
-{
-  return { RequestId{ aId }, 1, aImportance, 0, At(aDeadlineMs), aLong };
-}
-
-/** A state whose slots are all taken by requests 1000, 1001 and so on. */
-AdmissionState
-FullState(std::uint32_t aSlots)
-{
-  AdmissionState state = MakeAdmission({ aSlots, 0, 25 }, At(0));
-  for (std::uint32_t i = 0; i < aSlots; ++i) {
-    state = Offer(std::move(state), MakeArrival(1000 + i, Importance::kNormal, 9000), At(0)).state_;
-  }
-  return state;
-}
-
 struct OfferCase
 {
   const char* name_;
@@ -76,7 +53,7 @@
       0 },
   };
   for (const OfferCase& example : cases) {
-    AdmissionState state = FullState(3);
+    AdmissionState state = FullState({ 3, 0, 25 });
     for (const Arrival& arrival : example.queued_) {
       state = Offer(std::move(state), arrival, At(1)).state_;
     }
@@ -93,7 +70,7 @@
 
 Test(admission_queue, served_by_class_then_deadline_then_arrival)
 {
-  AdmissionState state = FullState(4);
+  AdmissionState state = FullState({ 4, 0, 25 });
   const Arrival arrivals[] = { MakeArrival(1, Importance::kLow, 500),
                                MakeArrival(2, Importance::kHigh, 800),
                                MakeArrival(3, Importance::kHigh, 700),
