--- a/packages/policy/AdmissionLevelControl.cpp
+++ b/packages/policy/AdmissionLevelControl.cpp
@@ -27,8 +27,8 @@
 constexpr double kDraining = 0.9;
 /** Below this share of the target, slots are about to be idle. */
 constexpr double kNearlyEmpty = 0.25;
-/** From the lowest level to the highest in 6 windows. */
-constexpr std::uint32_t kFirstStepWhenEmpty = 8;
+/** From the lowest level to the highest in 5 windows. */
+constexpr std::uint32_t kFirstStepWhenEmpty = 16;
 constexpr std::uint32_t kMaxRaiseStep = 64;
 
 void
--- a/packages/policy/tests/LongShareTest.cpp
+++ b/packages/policy/tests/LongShareTest.cpp
@@ -51,6 +51,20 @@
   cr_assert(ends.result_.start_ == std::vector{ RequestId{ 2 } });
 }
 
+Test(long_share, short_request_behind_a_blocked_long_one_takes_the_next_free_slot)
+{
+  AdmissionState state = FullState({ 4, 0, 25 });
+  state = Finish(std::move(state), RequestId{ 1000 }, CompletionKind::kFailed, At(1)).state_;
+  const Arrival arrivals[] = { MakeArrival(1, Importance::kHigh, 9000, true),
+                               MakeArrival(2, Importance::kHigh, 9000, true),
+                               MakeArrival(3, Importance::kLow, 9000) };
+  for (const Arrival& arrival : arrivals) {
+    state = Offer(std::move(state), arrival, At(2)).state_;
+  }
+  const auto ends = Finish(state, RequestId{ 1001 }, CompletionKind::kSucceeded, At(3));
+  cr_assert(ends.result_.start_ == std::vector{ RequestId{ 3 } });
+}
+
 Test(long_share, long_requests_leave_places_in_the_queue)
 {
   AdmissionState state = FullState({ 4, 0, 25 });
