--- a/packages/policy/CommandCheck.cpp
+++ b/packages/policy/CommandCheck.cpp
@@ -56,7 +56,7 @@
 FirstOf(Faults... aFaults)
 {
   Fault first;
-  ((first = first ? std::move(first) : std::move(aFaults)), ...);
+  ((first ? void() : void(first = std::move(aFaults))), ...);
   return first;
 }
 
