--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -35,14 +35,14 @@
   PIDS[$name]=$!
 }
 
-# Signals the named processes and waits for them; kills those that take more than 5 s.
+# Signals the named processes and waits for them; kills those that take more than 6 s.
 stop() {
   local name try left
   for name in "$@"; do
     kill -CONT "${PIDS[$name]}" 2> /dev/null || true
     kill -TERM "${PIDS[$name]}" 2> /dev/null || true
   done
-  for try in {1..50}; do
+  for try in {1..60}; do
     left=()
     for name in "$@"; do
       if kill -0 "${PIDS[$name]}" 2> /dev/null; then left+=("$name"); fi
@@ -102,7 +102,7 @@
     --admin-listen "$(admin_address "$index")" --backend "$(backend_address "$index")" \
     --service "$service" --domain "$domain" --region "${REGION:-region-1}" \
     --log-service "$(log_address)" ${seeds:+--seeds "$seeds"} \
-    --cluster-key demonstration-key --log-level warn --stop-timeout-ms 2000
+    --cluster-key demonstration-key --log-level warn --stop-timeout-ms 3000
   NODES+=("$index")
 }
 
@@ -127,13 +127,17 @@
 wait_nodes() {
   local index
   for index in "${NODES[@]}"; do
-    wait_for 30 curl -fs -m 1 "http://$(admin_address "$index")/readyz" || {
+    wait_for 20 node_is_ready_or_gone "$index" && kill -0 "${PIDS[node-$index]}" 2> /dev/null || {
       tail -n 5 "$RUN_DIR/node-$index.err" >&2
       return 1
     }
   done
 }
 
+node_is_ready_or_gone() {
+  curl -fs -m 1 "http://$(admin_address "$1")/readyz" || ! kill -0 "${PIDS[node-$1]}"
+}
+
 # Every node issues tickets for KIND, so it knows the configuration and an executor.
 wait_tickets() {
   local index
