--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -124,18 +124,27 @@
   for address in "${BACKENDS[@]}"; do wait_for 10 curl -fs -m 1 "http://$address/health"; done
 }
 
+# wait_nodes PATH: healthz when a node serves its admin address, readyz when it takes calls, which
+# needs a configuration
 wait_nodes() {
   local index
   for index in "${NODES[@]}"; do
-    wait_for 20 node_is_ready_or_gone "$index" && kill -0 "${PIDS[node-$index]}" 2> /dev/null || {
+    if ! wait_for 15 node_answers_or_is_gone "$index" "$1" || ! kill -0 "${PIDS[node-$index]}"; then
       tail -n 5 "$RUN_DIR/node-$index.err" >&2
       return 1
-    }
+    fi
   done
 }
+node_answers_or_is_gone() {
+  curl -fs -m 1 "http://$(admin_address "$1")/$2" || ! kill -0 "${PIDS[node-$1]}"
+}
 
-node_is_ready_or_gone() {
-  curl -fs -m 1 "http://$(admin_address "$1")/readyz" || ! kill -0 "${PIDS[node-$1]}"
+# declare_all FILE: operators declare before the nodes are ready, since readiness needs a
+# configuration
+declare_all() {
+  wait_nodes healthz
+  control --file "$1" > "$RUN_DIR/declare.out" 2>&1 || { cat "$RUN_DIR/declare.out" >&2; return 1; }
+  wait_nodes readyz
 }
 
 # Every node issues tickets for KIND, so it knows the configuration and an executor.
