--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -322,18 +322,31 @@
            aValue.answer_);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, ClosedBuckets& aValue)
+{
+  aArchive(aValue.epoch_, aValue.buckets_);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, HandedTable& aValue)
 {
-  aArchive(aValue.executor_, aValue.incarnation_, aValue.epoch_, aValue.tickets_);
+  aArchive(aValue.executor_, aValue.incarnation_, aValue.epoch_, aValue.tickets_, aValue.closed_);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, Handover& aValue)
 {
-  aArchive(aValue.from_, aValue.incarnation_, aValue.part_, aValue.partCount_, aValue.tables_);
+  aArchive(aValue.from_,
+           aValue.incarnation_,
+           aValue.successor_,
+           aValue.successorIncarnation_,
+           aValue.part_,
+           aValue.partCount_,
+           aValue.tables_);
 }
 
 template<class Archive>
