Never clear a ticket whose earlier attempt may have run

Cause: the outbound role started a repeated attempt as if nothing had been sent before. When the executor was dead at the repeat, a short deadline gave "not run" with a new ticket; so did a kind that the entry node did not know. Ruled out: the executor's table; it was not asked. TryExecutor alone checked the attempt number, the deadline and the early refusals did not. Conclusion: only the executor's own refusal clears such a ticket.

--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -137,6 +137,8 @@
   call.origin_ = origin;
   call.origin_.body_.clear();
   call.idempotent_ = kind.idempotent_;
+  // An earlier attempt under the ticket may have reached the executor through another entry node.
+  call.mayHaveRun_ = origin.ticket_ && origin.attempt_ > 1;
   call.startedAt_ = aContext.now_;
   call.deadline_ = DeadlineOf(aState, aContext, origin);
   call.ownsPool_ = !origin.parent_;
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -100,10 +100,8 @@
     SendAttempt(aState, aContext, aCall, executor.node_, false);
     return;
   }
-  // An earlier attempt of the caller may have reached the executor through another entry node.
-  const bool isFirstAttempt = call.origin_.attempt_ == 1;
-  const Verdict verdict = isFirstAttempt ? Verdict::kNotRun : Verdict::kMayHaveRun;
-  ReplyRefusal(aState, aContext, aCall, { verdict, Reason::kTicketOfLostExecutor, std::nullopt });
+  ReplyRefusal(
+    aState, aContext, aCall, { Verdict::kNotRun, Reason::kTicketOfLostExecutor, std::nullopt });
 }
 
 std::optional<Attempt>
@@ -190,6 +188,11 @@
               std::optional<Ticket> aFreshTicket)
 {
   const CallerRequest& request = aEvent.request_;
+  if (request.ticket_ && request.attempt_ > 1 && aRefusal.reason_ != Reason::kTicketInvalid &&
+      aRefusal.verdict_ == Verdict::kNotRun) {
+    // The verdict speaks about the ticket, and an earlier attempt may have reached its executor.
+    aRefusal.verdict_ = Verdict::kMayHaveRun;
+  }
   const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
   NoteRefusal(aState.counters_,
               { RefusalSide::kOutbound,
