Refuse requests that declare their length twice or unclearly

Cause: the framing looked at the first Content-Length only and ignored transfer codings other than chunked, so another reader on the path could see a different end of the request. Ruled out: taking the last of equal lengths; two equal fields are allowed by some readers and refused by others. Measured: http_body_length::table fails before, passes after; every proper prefix of a whole request stays incomplete. Conclusion: exactly one declaration of the length is accepted.

--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -1,6 +1,7 @@
 #include "wire/HttpFraming.h"
 
 #include <Poco/Exception.h>
+#include <Poco/String.h>
 #include <algorithm>
 #include <charconv>
 #include <sstream>
@@ -92,6 +93,23 @@
   }
 }
 
+/** Whether the head tells the length of the body in exactly one way that is understood here. Two
+ * readers that disagree about it see different messages on one connection. */
+bool
+HasOneLength(const Poco::Net::HTTPMessage& aHead)
+{
+  std::size_t lengths = 0;
+  for (const auto& [name, value] : aHead) {
+    const bool isCoding = Poco::icompare(name, Poco::Net::HTTPMessage::TRANSFER_ENCODING) == 0;
+    if (isCoding && Poco::icompare(value, Poco::Net::HTTPMessage::CHUNKED_TRANSFER_ENCODING) != 0) {
+      return false;
+    }
+    lengths +=
+      isCoding || Poco::icompare(name, Poco::Net::HTTPMessage::CONTENT_LENGTH) == 0 ? 1 : 0;
+  }
+  return lengths <= 1;
+}
+
 BodyResult
 TakeBody(const Poco::Net::HTTPMessage& aHead,
          std::string_view aBuffer,
@@ -99,11 +117,10 @@
          std::size_t aMaxBytes,
          std::optional<std::size_t> aDefaultLength)
 {
-  const bool isChunked = aHead.getChunkedTransferEncoding();
-  if (isChunked && aHead.hasContentLength()) {
-    // The two may disagree about where the next message starts.
+  if (!HasOneLength(aHead)) {
     return tl::unexpected(BodyProblem::kMalformed);
   }
+  const bool isChunked = aHead.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
   if (isChunked) {
     return TakeChunked(aBuffer, aStart, aMaxBytes);
   }
