Let the ticket table speak before any other refusal

Cause: a node that had restarted, and had no configuration yet, answered a ticket of its previous run with "not run, unknown kind" before it asked the ticket table. The executor's word counts as final, so a confirmation that had run was reported as not run. Found by session_faults, whole nodes under random faults. Likewise an entry node said "not run" at the deadline of a ticket that its caller may already be repeating elsewhere. Ruled out: the caller presenting a ticket again after it was told "not run", and a caller that keeps its earlier attempt open; both break the callers' contract, the first two traces showed them, and the test's caller now obeys.

--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -228,7 +228,14 @@
     CallBackend{ { aId, request.request_, request.deadline_ - aContext.now_ } });
 }
 
-/** The reason to refuse a call before tickets and admission are asked. */
+bool
+IsAuthenticCall(const NodeState& aState, const Request& aRequest)
+{
+  return IsAuthentic(
+    aState.settings_.clusterKey_, { aRequest.service_, aRequest.kind_ }, *aRequest.ticket_);
+}
+
+/** The reason to refuse a call before admission is asked. */
 std::optional<Refusal>
 CheckCall(const NodeState& aState, const CallRequest& aCall)
 {
@@ -243,9 +250,7 @@
   if (!kind->idempotent_ && !request.ticket_) {
     return Refusal{ Verdict::kNotRun, Reason::kTicketNeeded, std::nullopt };
   }
-  if (request.ticket_ && !IsAuthentic(aState.settings_.clusterKey_,
-                                      { request.service_, request.kind_ },
-                                      *request.ticket_)) {
+  if (request.ticket_ && !IsAuthenticCall(aState, request)) {
     return Refusal{ Verdict::kNotRun, Reason::kTicketInvalid, std::nullopt };
   }
   if (request.depth_ > kMaxDepth) {
@@ -312,6 +317,10 @@
         const CallRequest& aCall)
 {
   Register(aState, aContext, aId, aRequester, aCall, InboundPhase::kQueued);
+  if (const auto refusal = CheckCall(aState, aCall)) {
+    EndNotRun(aState, aContext, aId, refusal->reason_);
+    return;
+  }
   if (const auto reason = ReasonAgainstNewWork(aState, aContext)) {
     EndNotRun(aState, aContext, aId, *reason);
     return;
@@ -437,13 +446,17 @@
   if (aState.inbound_.byRequester_.contains(aRequester)) {
     return; // A duplicate of a frame that was handled before.
   }
-  if (const auto refusal = CheckCall(aState, aCall)) {
+  // The ticket table speaks first: a node that is not the executor, or no longer, must not say "not
+  // run" for any other reason.
+  const bool hasTicket = aCall.request_.ticket_ && IsAuthenticCall(aState, aCall.request_);
+  const auto refusal = hasTicket ? std::nullopt : CheckCall(aState, aCall);
+  if (refusal) {
     CountRefusal(aState, aContext, aCall.request_, *refusal);
     SendRefusal(aState, aContext, aRequester, *refusal, aCall.lentTokens_);
     return;
   }
   const RequestId id{ aContext.random_.Next() };
-  if (aCall.request_.ticket_) {
+  if (hasTicket) {
     PresentCall(aState, aContext, id, aRequester, aCall);
   } else {
     Enqueue(aState, aContext, id, aRequester, aCall);
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -339,8 +339,9 @@
 EndAtDeadline(NodeState& aState, ReduceContext& aContext, CallId aCall)
 {
   OutboundCall& call = aState.outbound_.calls_.at(aCall);
-  // An attempt without an outcome may be running, or may still arrive.
-  call.mayHaveRun_ = call.mayHaveRun_ || !call.attempts_.empty();
+  // An attempt without an outcome may be running, or may still arrive. At its deadline the caller
+  // of a ticket may already be repeating it through another entry node.
+  call.mayHaveRun_ = call.mayHaveRun_ || !call.attempts_.empty() || call.request_.ticket_;
   CancelAttempts(aState, aContext, aCall, AttemptOutcome::kFailed);
   const Verdict verdict = call.mayHaveRun_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
   ReplyRefusal(aState, aContext, aCall, { verdict, Reason::kDeadline, std::nullopt });
--- a/packages/policy/tests/Session.cpp
+++ b/packages/policy/tests/Session.cpp
@@ -150,6 +150,13 @@
   return exchange;
 }
 
+void
+Session::Disconnect(NodeIndex aEntry, ExchangeId aExchange)
+{
+  disconnected_.insert(aExchange);
+  Schedule(kNetworkDelay, aEntry, CallerDisconnected{ aExchange });
+}
+
 ExchangeId
 Session::Operate(NodeIndex aNode,
                  const Command& aCommand,
@@ -403,6 +410,9 @@
 Session::Run(NodeIndex aNode, const ReplyToCaller& aEffect)
 {
   const CallerReply& reply = aEffect.reply_;
+  if (disconnected_.contains(aEffect.exchange_)) {
+    return;
+  }
   std::string line = "n" + std::to_string(aNode) + " replies click " + reply.clickId_ + " " +
                      std::string(ToString(reply.outcome_.verdict_));
   if (reply.outcome_.reason_ != Reason::kNone) {
--- a/packages/policy/tests/Session.h
+++ b/packages/policy/tests/Session.h
@@ -45,6 +45,9 @@
 
   ExchangeId Call(NodeIndex aEntry, CallerRequest aRequest);
 
+  /** The caller closes its connection; a later reply does not reach it. */
+  void Disconnect(NodeIndex aEntry, ExchangeId aExchange);
+
   /** Sends an operator's command; the outcome is in the transcript and in CommandReplies(). */
   ExchangeId Operate(NodeIndex aNode,
                      const Command& aCommand,
@@ -161,6 +164,7 @@
   bool logDown_ = false;
   int lostAppendAnswers_ = 0;
   std::map<ExchangeId, CallerOutcome> replies_;
+  std::set<ExchangeId> disconnected_;
   std::map<ExchangeId, CommandReply> commandReplies_;
   std::map<std::pair<std::string, std::string>, int> executions_;
   std::string transcript_;
--- /dev/null
+++ b/packages/policy/tests/SessionFaultsTest.cpp
@@ -0,0 +1,134 @@
+/** \file
+ * Whole nodes under random faults: guards against a confirmation that runs twice (G5), a "not run"
+ * that ran (G4), and an answer that belongs to another request (G3).
+ */
+#include "Session.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace fulmarway;
+using namespace fulmarway::session;
+
+namespace {
+
+constexpr std::uint32_t kNodes = 3;
+constexpr std::uint32_t kSteps = 12;
+
+struct SentConfirm
+{
+  std::string click_;
+  ExchangeId exchange_;
+};
+
+/** One random fault, or none. */
+void
+Disturb(Session& aSession, RandomStream& aRandom)
+{
+  const NodeIndex node = aRandom.Next() % kNodes;
+  switch (aRandom.Next() % 9) {
+    case 0:
+      aSession.SilenceConnectionsTo(node);
+      break;
+    case 1:
+      aSession.Pause(node, true);
+      break;
+    case 2:
+      aSession.Kill(node);
+      break;
+    case 3:
+      aSession.Stop(node);
+      break;
+    case 4:
+      aSession.Cut("west-b", aRandom.Next() % 2 == 0);
+      break;
+    case 5:
+      aSession.BreakBackend(node);
+      break;
+    case 6:
+      aSession.SetLogDown(aRandom.Next() % 2 == 0);
+      break;
+    case 7:
+      aSession.SetServiceTime(node, std::chrono::milliseconds(10 + aRandom.Next() % 900));
+      break;
+    default:
+      break;
+  }
+}
+
+/** Sends a ticket through two entry nodes, as a caller does that lost the first answer. */
+void
+SendConfirm(Session& aSession,
+            RandomStream& aRandom,
+            const Ticket& aTicket,
+            std::vector<SentConfirm>& aSent)
+{
+  const std::string click = "c" + std::to_string(aSent.size());
+  const auto entry = [&] { return aRandom.Next() % kNodes; };
+  const NodeIndex first = entry();
+  aSent.push_back({ click, aSession.Call(first, MakeConfirm(click, aTicket)) });
+  aSession.Run(std::chrono::milliseconds(aRandom.Next() % 700));
+  const auto reply = aSession.ReplyTo(aSent.back().exchange_);
+  if (reply && reply->outcome_.verdict_ == Verdict::kNotRun) {
+    return; // The callers' contract: a ticket is not presented again after "not run".
+  }
+  if (!reply) {
+    // A caller that repeats has given up its earlier attempt.
+    aSession.Disconnect(first, aSent.back().exchange_);
+  }
+  aSent.push_back({ click, aSession.Call(entry(), MakeConfirm(click, aTicket, 2)) });
+}
+
+void
+CheckOutcomes(const Session& aSession, const std::vector<SentConfirm>& aSent)
+{
+  for (const SentConfirm& sent : aSent) {
+    const int executions = aSession.Executions(sent.click_, "confirm");
+    if (executions > 1) {
+      RC_FAIL(sent.click_ + " ran twice:\n" + aSession.Transcript());
+    }
+    const auto reply = aSession.ReplyTo(sent.exchange_);
+    if (!reply) {
+      continue;
+    }
+    if (reply->outcome_.verdict_ == Verdict::kNotRun && executions > 0) {
+      RC_FAIL(sent.click_ + " ran and was answered as not run:\n" + aSession.Transcript());
+    }
+    RC_ASSERT(!reply->answer_ || reply->answer_->body_ == sent.click_);
+  }
+}
+
+} // namespace
+
+Test(session_faults, confirmations_run_at_most_once)
+{
+  cr_assert(rc::check("whole nodes under random faults", [](std::uint64_t aSeed) {
+    Session session(aSeed);
+    RandomStream random{ aSeed };
+    for (NodeIndex node = 0; node < kNodes; ++node) {
+      session.AddNode({ "orders", node == 2 ? "west-b" : "west-a" });
+    }
+    session.DeclareOrders(0);
+    std::vector<Ticket> tickets;
+    for (std::uint32_t step = 0; step < kSteps; ++step) {
+      tickets.push_back(session.TicketFrom(step % kNodes));
+    }
+    std::vector<SentConfirm> sent;
+    for (const Ticket& ticket : tickets) {
+      Disturb(session, random);
+      SendConfirm(session, random, ticket, sent);
+      session.Run(std::chrono::milliseconds(random.Next() % 400));
+      const NodeIndex node = random.Next() % kNodes;
+      session.Pause(node, false);
+      if (random.Next() % 4 == 0) {
+        session.Kill(node);
+        session.Restart(node);
+      }
+    }
+    for (NodeIndex node = 0; node < kNodes; ++node) {
+      session.Pause(node, false);
+    }
+    session.Run(std::chrono::seconds(8));
+    CheckOutcomes(session, sent);
+  }));
+}
