Use one check for names of services, kinds and domains

Cause: HttpMapping and Settings each had their own copy of IsName() and its bound, which model/Address.h already holds for commands and the parser. Ruled out: merging ParseAddress() of Settings with IsNumericAddress(); settings take other spellings of an address, and the canonical form is made from them. Conclusion: the names that an operator can declare are those that a caller can ask for.

--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -1,5 +1,7 @@
 #include "node/Settings.h"
 
+#include "model/Address.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/IPAddress.h>
 #include <Poco/NumberParser.h>
@@ -35,7 +37,6 @@
 };
 
 constexpr std::size_t kMinSecretBytes = 16;
-constexpr std::size_t kMaxNameBytes = 64;
 
 constexpr std::array kSettings = {
   SettingSpec{ "listen", SettingKind::kAddress, "", "address for callers, IP:port" },
@@ -140,13 +141,6 @@
   return parts;
 }
 
-bool
-IsName(const std::string& aText)
-{
-  return !aText.empty() && aText.size() <= kMaxNameBytes &&
-         aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string::npos;
-}
-
 bool
 IsAddressList(const std::string& aText)
 {
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -1,5 +1,7 @@
 #include "wire/HttpMapping.h"
 
+#include "model/Address.h"
+
 #include <Poco/NumberParser.h>
 #include <algorithm>
 #include <cmath>
@@ -16,7 +18,6 @@
 constexpr unsigned kMaxDeadlineMs = 600'000;
 constexpr unsigned kMaxCallIndex = 10'000;
 constexpr unsigned kMaxAttempt = 1'000;
-constexpr std::size_t kMaxNameBytes = 64;
 
 tl::unexpected<InvalidRequest>
 Invalid(std::uint16_t aStatus, std::string aSubject, std::string aMessage)
@@ -24,16 +25,6 @@
   return tl::unexpected(InvalidRequest{ aStatus, { std::move(aSubject), std::move(aMessage) } });
 }
 
-bool
-IsName(std::string_view aText)
-{
-  const auto isAllowed = [](char aChar) {
-    return (aChar >= 'a' && aChar <= 'z') || (aChar >= '0' && aChar <= '9') || aChar == '-';
-  };
-  return !aText.empty() && aText.size() <= kMaxNameBytes &&
-         std::all_of(aText.begin(), aText.end(), isAllowed);
-}
-
 bool
 IsPrintableToken(std::string_view aText)
 {
