Send no hedge to a target without spare capacity

Cause: under load an attempt passes the hedge delay because it waits in a queue, not because its backend server is slow. The second attempt then takes a slot from another click, and the loser is cancelled after it started.

Ruled out: the node-wide share of retries (10%) as the bound; it allows one hedge in ten calls, and each hedge at the first service repeats the calls of all deeper services.

Change: a hedge is sent only to a target whose last recent report shows a free slot, no queue and no refused class.

Without the check the new test fails for no free slot, queue and lowered level.

--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -369,7 +369,10 @@
   const bool isOther =
     choice.verdict_ == RouteVerdict::kChosen &&
     std::find(call.tried_.begin(), call.tried_.end(), choice.target_) == call.tried_.end();
-  if (!isOther || !Apply(aState.budget_, SpendToken(std::move(aState.budget_), call.pool_))) {
+  // Under load the first attempt waits in a queue rather than at a slow backend server; a second
+  // one would only take capacity from other clicks.
+  if (!isOther || !HasSpareCapacity(aState.routing_, choice.target_, aContext.now_) ||
+      !Apply(aState.budget_, SpendToken(std::move(aState.budget_), call.pool_))) {
     return;
   }
   aState.counters_.Add(CounterId::kHedges);
--- a/packages/policy/Routing.cpp
+++ b/packages/policy/Routing.cpp
@@ -284,6 +284,18 @@
   return Duration{ static_cast<Duration::rep>(found->second.tail_) };
 }
 
+bool
+HasSpareCapacity(const RoutingState& aState, NodeId aTarget, Instant aNow)
+{
+  const auto found = aState.targets_.find(aTarget);
+  if (found == aState.targets_.end() || !found->second.load_ ||
+      aNow - found->second.loadAt_ > kLevelLifetime) {
+    return true;
+  }
+  const LoadReport& load = *found->second.load_;
+  return load.level_ == kHighestAdmissionLevel && load.queued_ == 0 && load.running_ < load.limit_;
+}
+
 bool
 IsEjected(const RoutingState& aState, NodeId aTarget, Instant aNow)
 {
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -108,6 +108,9 @@
   Instant ejectedUntil_;
   /** Ejections in a row; each doubles the time of the next. */
   std::uint32_t ejections_ = 0;
+  /** The latest report and when it arrived. */
+  std::optional<LoadReport> load_;
+  Instant loadAt_;
   std::optional<AdmissionLevel> level_;
   Instant levelAt_;
   /** Requests in a row that succeeded although a report from before their start refused them. */
@@ -149,6 +152,11 @@
 std::optional<Duration>
 HedgeDelay(const RoutingState& aState, NodeId aTarget);
 
+/** Whether the target's recent report shows a free slot, an empty queue and no refusals. A target
+ * without a recent report counts as free. */
+bool
+HasSpareCapacity(const RoutingState& aState, NodeId aTarget, Instant aNow);
+
 /** Whether the target is ejected now. */
 bool
 IsEjected(const RoutingState& aState, NodeId aTarget, Instant aNow);
--- a/packages/policy/TargetObservations.cpp
+++ b/packages/policy/TargetObservations.cpp
@@ -80,6 +80,8 @@
     aTarget.levelAt_ = aNow;
   }
   aTarget.level_ = aReport.load_->level_;
+  aTarget.load_ = aReport.load_;
+  aTarget.loadAt_ = aNow;
 }
 
 } // namespace
--- a/packages/policy/tests/RoutingSlowTargetTest.cpp
+++ b/packages/policy/tests/RoutingSlowTargetTest.cpp
@@ -138,3 +138,32 @@
   cr_assert(delay.has_value() && *delay > 17ms && *delay < 23ms);
   cr_assert_eq(OutstandingAttempts(state, NodeId{ 1 }), 0);
 }
+
+/** Guards against hedges that take capacity from other clicks under overload. */
+Test(routing_slow_target, spare_capacity_follows_the_last_report)
+{
+  const std::vector<RouteCandidate> targets{ { NodeId{ 1 }, true, true, false } };
+  struct SpareCase
+  {
+    const char* name_;
+    LoadReport load_;
+    bool isSpare_;
+  };
+  for (const SpareCase& item :
+       { SpareCase{ "free slot", { kHighestAdmissionLevel, 4, 3, 0 }, true },
+         SpareCase{ "no free slot", { kHighestAdmissionLevel, 4, 4, 0 }, false },
+         SpareCase{ "queue", { kHighestAdmissionLevel, 4, 3, 1 }, false },
+         SpareCase{ "lowered level", { AdmissionLevel{ 200 }, 4, 0, 0 }, false } }) {
+    RoutingState state;
+    cr_assert(HasSpareCapacity(state, NodeId{ 1 }, kStart), "%s", item.name_);
+    state = NoteAttemptStart(std::move(state), NodeId{ 1 }, kStart);
+    state = NoteAttemptEnd(std::move(state),
+                           { NodeId{ 1 }, AttemptOutcome::kSucceeded, 1ms, item.load_ },
+                           targets,
+                           kStart);
+    cr_assert_eq(
+      HasSpareCapacity(state, NodeId{ 1 }, kStart + 500ms), item.isSpare_, "%s", item.name_);
+    // A report that is no longer recent says nothing.
+    cr_assert(HasSpareCapacity(state, NodeId{ 1 }, kStart + 5s), "%s", item.name_);
+  }
+}
