Size the queue and raise the level for few slots

Cause: a backend server with few slots sheds and idles in turn. Its queue held as many requests as it has slots (4), its target was half a service time (2 requests), and an almost empty queue raised the level by 16 to 64 ranks, which at high load bring more requests than the slots can take.

Ruled out: the concurrency limit (4 of 4 throughout).

Change: the queue holds at least 16 requests, the target queue at least 8, and the raise is the number of ranks whose requests fill the slots that were free, by the arrivals seen below the level.

--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -22,7 +22,7 @@
 BoundsOf(const AdmissionSettings& aSettings)
 {
   const std::uint32_t slots = std::max<std::uint32_t>(aSettings.slots_, 1);
-  return { slots, ShareOf(slots, aSettings.longSharePercent_) };
+  return { std::max(slots, kMinQueue), ShareOf(slots, aSettings.longSharePercent_) };
 }
 
 std::uint32_t
@@ -62,7 +62,8 @@
 {
   return !HasFreeSlot(aState) &&
          QueuedCount(aState) >=
-           std::max<std::uint32_t>(aState.settings_.slots_ / kPressureDivisor, 1);
+           std::max<std::uint32_t>(
+             static_cast<std::uint32_t>(BoundsOf(aState.settings_).total_) / kPressureDivisor, 1);
 }
 
 void
@@ -233,7 +234,8 @@
   DecayServiceTimes(aState.fastTimes_, aNow);
   ShedLate(aState, decision, aNow);
   UpdateLimit(aState.limit_, !HasFreeSlot(aState), aNow);
-  UpdateLevel(aState.level_, WaitingForSlot(aState), TypicalServiceTime(aState.limit_));
+  UpdateLevel(
+    aState.level_, WaitingForSlot(aState), TypicalServiceTime(aState.limit_), LimitOf(aState));
   FillSlots(aState, decision, aNow);
   return { std::move(aState), std::move(decision) };
 }
--- a/packages/policy/Admission.h
+++ b/packages/policy/Admission.h
@@ -21,6 +21,11 @@
 
 namespace fulmarway {
 
+/** The queue holds as many requests as there are slots, but at least this many. At few slots a
+ * queue as long as the slots is too short for random arrivals: it overflows and runs empty in turn.
+ */
+inline constexpr std::uint32_t kMinQueue = 16;
+
 /** From the declaration of the service. */
 struct AdmissionSettings
 {
--- a/packages/policy/AdmissionLevelControl.cpp
+++ b/packages/policy/AdmissionLevelControl.cpp
@@ -11,6 +11,9 @@
 /** A queue of `slots` requests is worth one service time. Half of it is a standing queue; less
  * comes from random arrivals at a high but sustainable load. */
 constexpr int kServiceTimeDivisor = 2;
+/** Requests. With few slots half a service time is less than random arrivals need to keep the slots
+ * busy. */
+constexpr std::uint32_t kMinStandingQueue = 8;
 constexpr Duration kMinTarget = std::chrono::milliseconds(5);
 /** Deadlines are a few seconds over several calls; more than this in each queue would use them up.
  */
@@ -27,8 +30,10 @@
 constexpr double kDraining = 0.9;
 /** Below this share of the target, slots are about to be idle. */
 constexpr double kNearlyEmpty = 0.25;
-/** From the lowest level to the highest in 5 windows. */
-constexpr std::uint32_t kFirstStepWhenEmpty = 16;
+/** Ranks below the level whose arrivals tell how many requests a rank brings. */
+constexpr std::uint16_t kDensityRanks = 32;
+static_assert(kDensityRanks <= kLowestAdmissionLevel.admitBelow_);
+/** From the lowest level to the highest in 3 windows. */
 constexpr std::uint32_t kMaxRaiseStep = 64;
 
 void
@@ -49,11 +54,42 @@
   aControl.raiseStep_ = 0;
 }
 
+/** Requests that aLimit slots can serve in a window; unbounded while the service time is unknown.
+ */
+double
+CapacityOf(Duration aServiceTime, std::uint32_t aLimit)
+{
+  return aServiceTime.count() == 0
+           ? std::numeric_limits<double>::infinity()
+           : static_cast<double>(aLimit) * static_cast<double>(kLevelWindow.count()) /
+               static_cast<double>(aServiceTime.count());
+}
+
+/** Ranks that would fill the slots that were free, when those above the level bring as many
+ * requests as those below it. Refused ranks are seen only in part, because entries refuse them. */
+double
+RanksForFreeSlots(const AdmissionLevelControl& aControl, double aCapacity)
+{
+  const auto end = aControl.arrivals_.begin() + aControl.level_.admitBelow_;
+  const auto begin = aControl.arrivals_.begin() + kLowestAdmissionLevel.admitBelow_;
+  const auto mean = [](auto aFrom, auto aTo) {
+    return aFrom == aTo ? 0.0 : std::accumulate(aFrom, aTo, 0.0) / static_cast<double>(aTo - aFrom);
+  };
+  // Ranks that were raised a moment ago have brought few requests yet.
+  const double density = std::max(mean(end - kDensityRanks, end), mean(begin, end));
+  const double free = std::max(0.0, aCapacity - aControl.starts_);
+  return density > 0 ? free / density : kMaxRaiseStep;
+}
+
 void
-Raise(AdmissionLevelControl& aControl, bool aNearlyEmpty)
+Raise(AdmissionLevelControl& aControl, bool aNearlyEmpty, double aCapacity)
 {
-  aControl.raiseStep_ =
-    aNearlyEmpty ? std::clamp(aControl.raiseStep_ * 2, kFirstStepWhenEmpty, kMaxRaiseStep) : 1;
+  aControl.raiseStep_ = 1;
+  if (aNearlyEmpty) {
+    const double ranks = RanksForFreeSlots(aControl, aCapacity);
+    aControl.raiseStep_ = std::clamp(
+      static_cast<std::uint32_t>(std::min<double>(ranks, kMaxRaiseStep)), 1U, kMaxRaiseStep);
+  }
   const std::uint32_t raised = aControl.level_.admitBelow_ + aControl.raiseStep_;
   aControl.level_.admitBelow_ =
     static_cast<std::uint16_t>(std::min<std::uint32_t>(raised, kHighestAdmissionLevel.admitBelow_));
@@ -111,27 +147,35 @@
 }
 
 void
-UpdateLevel(AdmissionLevelControl& aControl, std::size_t aQueued, Duration aServiceTime)
+UpdateLevel(AdmissionLevelControl& aControl,
+            std::size_t aQueued,
+            Duration aServiceTime,
+            std::uint32_t aLimit)
 {
   aControl.windows_ += 1;
   const double queued = aControl.queuedCount_ == 0 ? static_cast<double>(aQueued)
                                                    : aControl.queuedSum_ / aControl.queuedCount_;
   const double delay = QueueDelayUs(aControl, queued);
-  const auto target = static_cast<double>(QueueDelayTarget(aServiceTime).count());
+  const auto target = static_cast<double>(QueueDelayTarget(aServiceTime, aLimit).count());
   if (aControl.overflowed_ || (delay > target && queued > aControl.lastQueued_ * kDraining)) {
     Lower(aControl);
   } else if (delay <= target) {
-    Raise(aControl, delay < target * kNearlyEmpty);
+    Raise(aControl,
+          delay < target * kNearlyEmpty,
+          CapacityOf(aServiceTime, aLimit) * aControl.windows_);
   }
   BeginWindow(aControl, queued);
 }
 
 Duration
-QueueDelayTarget(Duration aServiceTime)
+QueueDelayTarget(Duration aServiceTime, std::uint32_t aLimit)
 {
   return aServiceTime.count() == 0
            ? kUnknownTarget
-           : std::clamp(aServiceTime / kServiceTimeDivisor, kMinTarget, kMaxTarget);
+           : std::clamp(std::max(aServiceTime / kServiceTimeDivisor,
+                                 aServiceTime * kMinStandingQueue / std::max(aLimit, 1U)),
+                        kMinTarget,
+                        kMaxTarget);
 }
 
 } // namespace fulmarway
--- a/packages/policy/AdmissionLevelControl.h
+++ b/packages/policy/AdmissionLevelControl.h
@@ -46,12 +46,16 @@
 void
 NoteOverflow(AdmissionLevelControl& aControl);
 
-/** Ends a window. aQueued requests wait for a slot; the service time is zero while unknown. */
+/** Ends a window. aQueued requests wait for one of aLimit slots; the service time is zero
+ * while unknown. */
 void
-UpdateLevel(AdmissionLevelControl& aControl, std::size_t aQueued, Duration aServiceTime);
+UpdateLevel(AdmissionLevelControl& aControl,
+            std::size_t aQueued,
+            Duration aServiceTime,
+            std::uint32_t aLimit);
 
 /** The queueing delay above which the level is lowered. */
 Duration
-QueueDelayTarget(Duration aServiceTime);
+QueueDelayTarget(Duration aServiceTime, std::uint32_t aLimit);
 
 } // namespace fulmarway
--- a/packages/policy/tests/AdmissionOverloadTest.cpp
+++ b/packages/policy/tests/AdmissionOverloadTest.cpp
@@ -3,7 +3,9 @@
  */
 #include "BackendSimulation.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
+#include <map>
 #include <numeric>
 
 using namespace fulmarway;
@@ -82,3 +84,28 @@
     cr_expect_geq(CriticalShare(sum), 0.99, "load %.1f", load);
   }
 }
+
+/** Few slots: a queue as long as the slots runs empty between random arrivals, and a level that is
+ * raised by too many ranks lets in more than the slots can take. */
+Test(admission_overload, few_slots_keep_95_percent_of_the_best_goodput)
+{
+  for (const bool entryLevel : { false, true }) {
+    std::map<double, double> goodput;
+    for (const double load : { 1.0, 2.0, 4.0, 10.0 }) {
+      SimulationPlan plan{ .settings_ = { 4, 0, 25 },
+                           .rate_ = [=](double) { return 100 * load; },
+                           .entryLevel_ = entryLevel };
+      plan.serviceMs_ = 40;
+      plan.durationMs_ = 40000;
+      const SimulationWindow sum = SumWindows(Simulate(plan), 1, 39);
+      goodput[load] = Succeeded(sum);
+      cr_expect_geq(CriticalShare(sum), 0.999, "entry level %d, load %.0f", entryLevel, load);
+    }
+    const double best = std::max_element(goodput.begin(), goodput.end(), [](auto& aL, auto& aR) {
+                          return aL.second < aR.second;
+                        })->second;
+    for (const double load : { 2.0, 4.0, 10.0 }) {
+      cr_expect_geq(goodput[load] / best, 0.95, "entry level %d, load %.0f", entryLevel, load);
+    }
+  }
+}
