Refuse at the entry what a deeper service would refuse

Cause: a level reached only the nodes that call the overloaded service.

Change: a node learns which deeper calls a kind cannot do without, from the outcome of requests whose deeper call was refused. The level in its answers is at most the mean of the recent levels of those services, so it travels up the chain. Levels are kept for each kind of a target.

--- /dev/null
+++ b/packages/policy/CallDependencies.cpp
@@ -0,0 +1,50 @@
+#include "policy/CallDependencies.h"
+
+namespace fulmarway {
+
+namespace {
+
+/** Weight of earlier outcomes at each new one; about the last ten count. */
+constexpr double kHistory = 0.9;
+/** Fewer outcomes than this say nothing. */
+constexpr double kMinOutcomes = 2.5;
+constexpr double kRequiredShare = 0.8;
+
+} // namespace
+
+CallDependencies
+NoteRefusedCall(CallDependencies aState,
+                std::uint64_t aKindKey,
+                const DeeperCall& aCall,
+                bool aHasFailed)
+{
+  if (!aState.byKind_.contains(aKindKey) && aState.byKind_.size() >= kMaxDependentKinds) {
+    return aState;
+  }
+  auto& calls = aState.byKind_[aKindKey];
+  if (!calls.contains(aCall) && calls.size() >= kMaxDeeperCalls) {
+    return aState;
+  }
+  DependencyOutcomes& outcomes = calls[aCall];
+  outcomes.ended_ = outcomes.ended_ * kHistory + 1;
+  outcomes.failed_ = outcomes.failed_ * kHistory + (aHasFailed ? 1 : 0);
+  return aState;
+}
+
+std::vector<DeeperCall>
+RequiredCalls(const CallDependencies& aState, std::uint64_t aKindKey)
+{
+  std::vector<DeeperCall> required;
+  const auto found = aState.byKind_.find(aKindKey);
+  if (found == aState.byKind_.end()) {
+    return required;
+  }
+  for (const auto& [call, outcomes] : found->second) {
+    if (outcomes.ended_ >= kMinOutcomes && outcomes.failed_ >= kRequiredShare * outcomes.ended_) {
+      required.push_back(call);
+    }
+  }
+  return required;
+}
+
+} // namespace fulmarway
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -1,6 +1,7 @@
 #include "policy/Inbound.h"
 
 #include "policy/Outbound.h"
+#include "policy/RouteCandidates.h"
 
 #include <algorithm>
 
@@ -48,6 +49,7 @@
 SendRefusal(NodeState& aState,
             ReduceContext& aContext,
             const Requester& aRequester,
+            const std::string& aKind,
             Refusal aRefusal,
             std::uint32_t aReturnedTokens,
             NodeId aSuccessor = {})
@@ -57,8 +59,11 @@
   }
   Send(aContext,
        aRequester,
-       CallRefused{
-         aRequester.attempt_, aRefusal, aReturnedTokens, aSuccessor, MakeLoadReport(aState) });
+       CallRefused{ aRequester.attempt_,
+                    aRefusal,
+                    aReturnedTokens,
+                    aSuccessor,
+                    MakeLoadReport(aState, aContext, aKind) });
 }
 
 void
@@ -118,7 +123,12 @@
   CountRefusal(aState, aContext, removed->request_.request_, aRefusal);
   CancelCallsOfParent(aState, aContext, aId);
   if (removed->request_.requester_) {
-    SendRefusal(aState, aContext, *removed->request_.requester_, aRefusal, removed->tokens_);
+    SendRefusal(aState,
+                aContext,
+                *removed->request_.requester_,
+                removed->request_.request_.kind_,
+                aRefusal,
+                removed->tokens_);
   }
 }
 
@@ -134,7 +144,11 @@
     const Requester& requester = *removed->request_.requester_;
     SendAnswer(aContext,
                requester,
-               { requester.attempt_, aAnswer, 0, removed->tokens_, MakeLoadReport(aState) });
+               { requester.attempt_,
+                 aAnswer,
+                 0,
+                 removed->tokens_,
+                 MakeLoadReport(aState, aContext, removed->request_.request_.kind_) });
   }
 }
 
@@ -353,15 +367,23 @@
       Register(aState, aContext, aId, aRequester, aCall, InboundPhase::kJoined);
       return;
     case TicketAction::kReplay:
-      SendAnswer(
-        aContext,
-        aRequester,
-        { aRequester.attempt_, *decision.answer_, 0, aCall.lentTokens_, MakeLoadReport(aState) });
+      SendAnswer(aContext,
+                 aRequester,
+                 { aRequester.attempt_,
+                   *decision.answer_,
+                   0,
+                   aCall.lentTokens_,
+                   MakeLoadReport(aState, aContext, aCall.request_.kind_) });
       return;
     case TicketAction::kRefuse:
       CountRefusal(aState, aContext, aCall.request_, decision.refusal_);
-      SendRefusal(
-        aState, aContext, aRequester, decision.refusal_, aCall.lentTokens_, decision.successor_);
+      SendRefusal(aState,
+                  aContext,
+                  aRequester,
+                  aCall.request_.kind_,
+                  decision.refusal_,
+                  aCall.lentTokens_,
+                  decision.successor_);
       return;
   }
 }
@@ -386,6 +408,18 @@
   FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
 }
 
+/** A request that failed after a deeper call was refused needed that call. */
+void
+LearnDependencies(NodeState& aState, const InboundRequest& aRequest, bool aHasFailed)
+{
+  for (const DeeperCall& call : aRequest.refusedCalls_) {
+    aState.inbound_.dependencies_ = NoteRefusedCall(std::move(aState.inbound_.dependencies_),
+                                                    StableHash(aRequest.request_.kind_),
+                                                    call,
+                                                    aHasFailed);
+  }
+}
+
 /** The request whose queue place or backend work the ticket's waiters share. */
 std::optional<RequestId>
 FindPrimary(const NodeState& aState, const Ticket& aTicket)
@@ -419,14 +453,32 @@
 } // namespace
 
 LoadReport
-MakeLoadReport(const NodeState& aState)
+MakeLoadReport(NodeState& aState, const ReduceContext& aContext, const std::string& aKind)
 {
-  return { LevelOf(aState.admission_),
+  AdmissionLevel level = LevelOf(aState.admission_);
+  for (const DeeperCall& call : RequiredCalls(aState.inbound_.dependencies_, StableHash(aKind))) {
+    level = std::min(level,
+                     ServiceLevel(aState.routing_,
+                                  CandidatesFor(aState, call.service_),
+                                  StableHash(call.kind_),
+                                  aContext.now_));
+  }
+  return { level,
            LimitOf(aState.admission_),
            RunningCount(aState.admission_),
            QueuedCount(aState.admission_) };
 }
 
+void
+NoteRefusedDeeperCall(NodeState& aState, RequestId aParent, DeeperCall aCall)
+{
+  const auto found = aState.inbound_.requests_.find(aParent);
+  if (found != aState.inbound_.requests_.end() &&
+      found->second.refusedCalls_.size() < kMaxDeeperCalls) {
+    found->second.refusedCalls_.insert(std::move(aCall));
+  }
+}
+
 const InboundRequest*
 FindRunning(const NodeState& aState, RequestId aRequest)
 {
@@ -452,7 +504,7 @@
   const auto refusal = hasTicket ? std::nullopt : CheckCall(aState, aCall);
   if (refusal) {
     CountRefusal(aState, aContext, aCall.request_, *refusal);
-    SendRefusal(aState, aContext, aRequester, *refusal, aCall.lentTokens_);
+    SendRefusal(aState, aContext, aRequester, aCall.request_.kind_, *refusal, aCall.lentTokens_);
     return;
   }
   const RequestId id{ aContext.random_.Next() };
@@ -510,6 +562,7 @@
   const auto ticket = found->second.request_.ticket_;
   constexpr std::uint16_t kFirstServerError = 500;
   const bool hasFailed = aEvent.refused_ || aEvent.answer_.status_ >= kFirstServerError;
+  LearnDependencies(aState, found->second, hasFailed);
   if (aEvent.refused_) {
     EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kShedByQueue);
   } else if (ticket) {
--- a/packages/policy/Inbound.h
+++ b/packages/policy/Inbound.h
@@ -41,8 +41,13 @@
 const InboundRequest*
 FindRunning(const NodeState& aState, RequestId aRequest);
 
-/** The load report that rides on every answer. */
+/** A deeper call of the running request was refused as not run. */
+void
+NoteRefusedDeeperCall(NodeState& aState, RequestId aParent, DeeperCall aCall);
+
+/** The load report that rides on every answer to a request of the kind. Its level is also that of
+ * the deeper services that the kind needs, so that entries refuse what would fail there. */
 LoadReport
-MakeLoadReport(const NodeState& aState);
+MakeLoadReport(NodeState& aState, const ReduceContext& aContext, const std::string& aKind);
 
 } // namespace fulmarway
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -8,6 +8,7 @@
 #include "model/Random.h"
 #include "model/Step.h"
 #include "policy/Admission.h"
+#include "policy/CallDependencies.h"
 #include "policy/ConfigFold.h"
 #include "policy/Counters.h"
 #include "policy/Effect.h"
@@ -20,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -75,6 +77,8 @@
   Instant startedAt_;
   /** Tokens of a joined request, returned unused. */
   std::uint32_t joinedTokens_ = 0;
+  /** Its deeper calls that were refused as not run. */
+  std::set<DeeperCall> refusedCalls_;
 
   bool operator==(const InboundRequest&) const = default;
 };
@@ -84,6 +88,7 @@
 {
   std::unordered_map<RequestId, InboundRequest> requests_;
   std::map<Requester, RequestId> byRequester_;
+  CallDependencies dependencies_;
 
   bool operator==(const InboundState&) const = default;
 };
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -185,17 +185,18 @@
            AttemptOutcome aOutcome,
            std::optional<LoadReport> aLoad)
 {
-  return { aAttempt.target_, aOutcome, aContext.now_ - aAttempt.startedAt_, aLoad };
+  return { aAttempt.target_, aOutcome, aContext.now_ - aAttempt.startedAt_, aLoad, {}, 0 };
 }
 
 void
 ReportAttempt(NodeState& aState,
               ReduceContext& aContext,
-              const std::string& aService,
-              const AttemptReport& aReport)
+              const Request& aRequest,
+              AttemptReport aReport)
 {
+  aReport.kindKey_ = StableHash(aRequest.kind_);
   aState.routing_ = NoteAttemptEnd(
-    std::move(aState.routing_), aReport, CandidatesFor(aState, aService), aContext.now_);
+    std::move(aState.routing_), aReport, CandidatesFor(aState, aRequest.service_), aContext.now_);
 }
 
 std::optional<CallId>
@@ -216,7 +217,7 @@
   aState.budget_ = NoteSuccess(std::move(aState.budget_));
   ReportAttempt(aState,
                 aContext,
-                aState.outbound_.calls_.at(aCall).request_.service_,
+                aState.outbound_.calls_.at(aCall).request_,
                 MakeReport(aContext, attempt, AttemptOutcome::kSucceeded, aAnswer.load_));
   ReplyAnswer(aState, aContext, aCall, std::move(aAnswer.answer_));
 }
@@ -325,7 +326,7 @@
   }
   ReportAttempt(aState,
                 aContext,
-                call.request_.service_,
+                call.request_,
                 MakeReport(aContext, attempt, AttemptOutcome::kFailed, std::nullopt));
   if (call.request_.ticket_) {
     ScheduleTicketRepeat(aContext, call);
@@ -360,10 +361,7 @@
   if (!delay || aContext.now_ - first.startedAt_ < *delay) {
     return;
   }
-  const RouteQuery query{ call.request_.importance_,
-                          ClickBucket(call.request_.clickId_),
-                          call.tried_,
-                          aContext.random_.Next() };
+  const RouteQuery query = MakeRouteQuery(aContext, call);
   const RouteDecision choice = ChooseTarget(
     aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
   const bool isOther =
@@ -371,7 +369,8 @@
     std::find(call.tried_.begin(), call.tried_.end(), choice.target_) == call.tried_.end();
   // Under load the first attempt waits in a queue rather than at a slow backend server; a second
   // one would only take capacity from other clicks.
-  if (!isOther || !HasSpareCapacity(aState.routing_, choice.target_, aContext.now_) ||
+  if (!isOther ||
+      !HasSpareCapacity(aState.routing_, choice.target_, query.kindKey_, aContext.now_) ||
       !Apply(aState.budget_, SpendToken(std::move(aState.budget_), call.pool_))) {
     return;
   }
@@ -480,7 +479,7 @@
   const bool isNotRun = aRefused.refusal_.verdict_ == Verdict::kNotRun;
   ReportAttempt(aState,
                 aContext,
-                call.request_.service_,
+                call.request_,
                 MakeReport(aContext,
                            attempt,
                            isNotRun ? AttemptOutcome::kRefused : AttemptOutcome::kFailed,
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -1,5 +1,6 @@
 #include "policy/OutboundCalls.h"
 
+#include "policy/Inbound.h"
 #include "policy/RouteCandidates.h"
 
 namespace fulmarway {
@@ -71,14 +72,21 @@
            CallRequest{ attempt, call.request_, call.deadline_ - aContext.now_, tokens });
 }
 
+RouteQuery
+MakeRouteQuery(ReduceContext& aContext, const OutboundCall& aCall)
+{
+  return { aCall.request_.importance_,
+           ClickBucket(aCall.request_.clickId_),
+           StableHash(aCall.request_.kind_),
+           aCall.tried_,
+           aContext.random_.Next() };
+}
+
 void
 TryTarget(NodeState& aState, ReduceContext& aContext, CallId aCall)
 {
   const OutboundCall& call = aState.outbound_.calls_.at(aCall);
-  const RouteQuery query{ call.request_.importance_,
-                          ClickBucket(call.request_.clickId_),
-                          call.tried_,
-                          aContext.random_.Next() };
+  const RouteQuery query = MakeRouteQuery(aContext, call);
   const RouteDecision choice = ChooseTarget(
     aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
   if (choice.verdict_ == RouteVerdict::kChosen) {
@@ -131,11 +139,11 @@
   for (const AttemptId id : open) {
     const Attempt attempt = *CloseAttempt(aState, id);
     aState.budget_ = ForfeitLoan(std::move(aState.budget_), id);
-    aState.routing_ = NoteAttemptEnd(
-      std::move(aState.routing_),
-      { attempt.target_, aOutcome, aContext.now_ - attempt.startedAt_, std::nullopt },
-      CandidatesFor(aState, service),
-      aContext.now_);
+    aState.routing_ =
+      NoteAttemptEnd(std::move(aState.routing_),
+                     { attempt.target_, aOutcome, aContext.now_ - attempt.startedAt_, {}, {}, 0 },
+                     CandidatesFor(aState, service),
+                     aContext.now_);
     SendCall(aState, aContext, attempt.target_, CallCancelled{ id });
   }
 }
@@ -161,6 +169,10 @@
     aRefusal.verdict_ = Verdict::kMayHaveRun;
   }
   const bool isNotRun = aRefusal.verdict_ == Verdict::kNotRun;
+  if (isNotRun && call.origin_.parent_) {
+    NoteRefusedDeeperCall(
+      aState, *call.origin_.parent_, { call.request_.service_, call.request_.kind_ });
+  }
   if (isNotRun && !aRefusal.retryAfter_) {
     aRefusal.retryAfter_ = aContext.random_.Jitter(RetryAfterHint(aState.admission_));
   }
--- a/packages/policy/OutboundCalls.h
+++ b/packages/policy/OutboundCalls.h
@@ -15,6 +15,10 @@
             NodeId aTarget,
             bool aIsHedge);
 
+/** What routing has to know of the call; draws new random bits. */
+RouteQuery
+MakeRouteQuery(ReduceContext& aContext, const OutboundCall& aCall);
+
 /** Chooses a target and sends the next attempt of an idempotent call, or ends the call. */
 void
 TryTarget(NodeState& aState, ReduceContext& aContext, CallId aCall);
--- a/packages/policy/Routing.cpp
+++ b/packages/policy/Routing.cpp
@@ -76,7 +76,7 @@
     const TargetObservations& target = found == aState.targets_.end() ? unknown : found->second;
     Scored scored{ &candidate };
     scored.ejected_ = aNow < target.ejectedUntil_;
-    scored.saturated_ = RefusesByLevel(target, aQuery.importance_, aQuery.clickBucket_, aNow);
+    scored.saturated_ = RefusesByLevel(target, aQuery, aNow);
     scored.expectedTime_ = ExpectedTime(target, assumed, aNow);
     scored.score_ = static_cast<double>(target.outstanding_.size() + 1) * scored.expectedTime_;
     scored.drawWeight_ = SlowStartShare(target, aNow);
@@ -285,7 +285,7 @@
 }
 
 bool
-HasSpareCapacity(const RoutingState& aState, NodeId aTarget, Instant aNow)
+HasSpareCapacity(const RoutingState& aState, NodeId aTarget, std::uint64_t aKindKey, Instant aNow)
 {
   const auto found = aState.targets_.find(aTarget);
   if (found == aState.targets_.end() || !found->second.load_ ||
@@ -293,7 +293,31 @@
     return true;
   }
   const LoadReport& load = *found->second.load_;
-  return load.level_ == kHighestAdmissionLevel && load.queued_ == 0 && load.running_ < load.limit_;
+  return TrustedLevel(found->second, aKindKey, aNow).value_or(kHighestAdmissionLevel) ==
+           kHighestAdmissionLevel &&
+         load.queued_ == 0 && load.running_ < load.limit_;
+}
+
+AdmissionLevel
+ServiceLevel(const RoutingState& aState,
+             std::span<const RouteCandidate> aTargets,
+             std::uint64_t aKindKey,
+             Instant aNow)
+{
+  std::uint32_t sum = 0;
+  std::uint32_t known = 0;
+  for (const RouteCandidate& candidate : aTargets) {
+    const auto found = aState.targets_.find(candidate.id_);
+    if (found == aState.targets_.end()) {
+      continue;
+    }
+    if (const auto level = TrustedLevel(found->second, aKindKey, aNow)) {
+      sum += level->admitBelow_;
+      known += 1;
+    }
+  }
+  return known == 0 ? kHighestAdmissionLevel
+                    : AdmissionLevel{ static_cast<std::uint16_t>(sum / known) };
 }
 
 bool
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -34,6 +34,8 @@
 {
   Importance importance_ = Importance::kNormal;
   std::uint8_t clickBucket_ = 0;
+  /** StableHash() of the kind; admission levels are reported for each kind. */
+  std::uint64_t kindKey_ = 0;
   /** Targets of earlier attempts of the same call; avoided while others are left. */
   std::vector<NodeId> tried_;
   std::uint64_t entropy_ = 0;
@@ -80,10 +82,24 @@
   /** AdmissionRank() of the request. With it, level reports that outcomes contradict are ignored.
    */
   std::optional<std::uint16_t> rank_;
+  /** Kind of the request, as in RouteQuery. */
+  std::uint64_t kindKey_ = 0;
 
   bool operator==(const AttemptReport&) const = default;
 };
 
+/** What a target last reported for requests of one kind. */
+struct KindLevel
+{
+  AdmissionLevel level_ = kHighestAdmissionLevel;
+  Instant at_;
+  /** Requests in a row that succeeded although a report from before their start refused them. */
+  std::uint32_t contradictions_ = 0;
+  Instant distrustUntil_;
+
+  bool operator==(const KindLevel&) const = default;
+};
+
 /** What this node has observed of one target. */
 struct TargetObservations
 {
@@ -111,11 +127,8 @@
   /** The latest report and when it arrived. */
   std::optional<LoadReport> load_;
   Instant loadAt_;
-  std::optional<AdmissionLevel> level_;
-  Instant levelAt_;
-  /** Requests in a row that succeeded although a report from before their start refused them. */
-  std::uint32_t contradictions_ = 0;
-  Instant distrustLevelUntil_;
+  /** By kind; bounded by the declared kinds of the target's service. */
+  std::map<std::uint64_t, KindLevel> levels_;
 
   bool operator==(const TargetObservations&) const = default;
 };
@@ -152,10 +165,20 @@
 std::optional<Duration>
 HedgeDelay(const RoutingState& aState, NodeId aTarget);
 
-/** Whether the target's recent report shows a free slot, an empty queue and no refusals. A target
- * without a recent report counts as free. */
+/** Whether the target's recent report shows a free slot, an empty queue and no refusals of requests
+ * of the kind. A target without a recent report counts as free. */
 bool
-HasSpareCapacity(const RoutingState& aState, NodeId aTarget, Instant aNow);
+HasSpareCapacity(const RoutingState& aState, NodeId aTarget, std::uint64_t aKindKey, Instant aNow);
+
+/** Mean of the targets' recent levels for requests of the kind; the highest level when there is no
+ * recent report. Targets without a recent report are left out: in a service of many targets there
+ * is always one, and counting it as free would hide the overload of the others. The highest of the
+ * levels would admit to all targets what only one can take. */
+AdmissionLevel
+ServiceLevel(const RoutingState& aState,
+             std::span<const RouteCandidate> aTargets,
+             std::uint64_t aKindKey,
+             Instant aNow);
 
 /** Whether the target is ejected now. */
 bool
--- a/packages/policy/TargetObservations.cpp
+++ b/packages/policy/TargetObservations.cpp
@@ -58,30 +58,40 @@
 }
 
 void
-ObserveLevel(TargetObservations& aTarget, const AttemptReport& aReport, Instant aNow)
+NoteContradiction(KindLevel& aKind, const AttemptReport& aReport, Instant aNow)
 {
   if (aReport.outcome_ == AttemptOutcome::kRefused) {
-    aTarget.contradictions_ = 0;
-    aTarget.distrustLevelUntil_ = Instant{};
+    aKind.contradictions_ = 0;
+    aKind.distrustUntil_ = Instant{};
   }
   const bool contradicted = aReport.outcome_ == AttemptOutcome::kSucceeded && aReport.rank_ &&
-                            aTarget.level_ && *aReport.rank_ >= aTarget.level_->admitBelow_ &&
+                            *aReport.rank_ >= aKind.level_.admitBelow_ &&
                             *aReport.rank_ >= kLowestAdmissionLevel.admitBelow_ &&
-                            aTarget.levelAt_ <= aNow - aReport.latency_;
-  if (contradicted && ++aTarget.contradictions_ >= kContradictionsToDistrust) {
-    aTarget.distrustLevelUntil_ = aNow + kDistrustTime;
+                            aKind.at_ <= aNow - aReport.latency_;
+  if (contradicted && ++aKind.contradictions_ >= kContradictionsToDistrust) {
+    aKind.distrustUntil_ = aNow + kDistrustTime;
+  }
+}
+
+void
+ObserveLevel(TargetObservations& aTarget, const AttemptReport& aReport, Instant aNow)
+{
+  const auto known = aTarget.levels_.find(aReport.kindKey_);
+  if (known != aTarget.levels_.end()) {
+    NoteContradiction(known->second, aReport, aNow);
   }
   if (!aReport.load_) {
     return;
   }
+  aTarget.load_ = aReport.load_;
+  aTarget.loadAt_ = aNow;
+  KindLevel& kind = aTarget.levels_[aReport.kindKey_];
   // Keeps the time of an unchanged report that is being contradicted, because each answer renews
   // the report and no request would start after it.
-  if (aTarget.level_ != aReport.load_->level_ || aNow - aTarget.levelAt_ > kLevelLifetime / 2) {
-    aTarget.levelAt_ = aNow;
+  if (kind.level_ != aReport.load_->level_ || aNow - kind.at_ > kLevelLifetime / 2) {
+    kind.at_ = aNow;
   }
-  aTarget.level_ = aReport.load_->level_;
-  aTarget.load_ = aReport.load_;
-  aTarget.loadAt_ = aNow;
+  kind.level_ = aReport.load_->level_;
 }
 
 } // namespace
@@ -147,15 +157,22 @@
   return std::max({ latency, silent, 1.0 }) / std::max(kMinSuccessShare, 1 - failureShare);
 }
 
+std::optional<AdmissionLevel>
+TrustedLevel(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow)
+{
+  const auto found = aTarget.levels_.find(aKindKey);
+  if (found == aTarget.levels_.end() || aNow - found->second.at_ > kLevelLifetime ||
+      aNow < found->second.distrustUntil_) {
+    return std::nullopt;
+  }
+  return found->second.level_;
+}
+
 bool
-RefusesByLevel(const TargetObservations& aTarget,
-               Importance aImportance,
-               std::uint8_t aClickBucket,
-               Instant aNow)
+RefusesByLevel(const TargetObservations& aTarget, const RouteQuery& aQuery, Instant aNow)
 {
-  return aTarget.level_ && aNow - aTarget.levelAt_ <= kLevelLifetime &&
-         aNow >= aTarget.distrustLevelUntil_ &&
-         !IsAdmitted(*aTarget.level_, aImportance, aClickBucket);
+  const auto level = TrustedLevel(aTarget, aQuery.kindKey_, aNow);
+  return level && !IsAdmitted(*level, aQuery.importance_, aQuery.clickBucket_);
 }
 
 double
--- a/packages/policy/TargetObservations.h
+++ b/packages/policy/TargetObservations.h
@@ -34,12 +34,14 @@
 double
 ExpectedTime(const TargetObservations& aTarget, double aUnknownLatency, Instant aNow);
 
-/** Whether the last report is recent and refuses requests of this class and bucket. */
+/** The level of the last report for the kind; nullopt when there is none, or when it is old or was
+ * contradicted by outcomes. */
+std::optional<AdmissionLevel>
+TrustedLevel(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow);
+
+/** Whether the trusted level refuses the request. */
 bool
-RefusesByLevel(const TargetObservations& aTarget,
-               Importance aImportance,
-               std::uint8_t aClickBucket,
-               Instant aNow);
+RefusesByLevel(const TargetObservations& aTarget, const RouteQuery& aQuery, Instant aNow);
 
 /** Share of the normal number of draws during slow start, (0, 1]. */
 double
--- a/packages/policy/tests/RoutingChoiceTest.cpp
+++ b/packages/policy/tests/RoutingChoiceTest.cpp
@@ -111,7 +111,7 @@
       std::vector<RouteCandidate> some(all.begin() + step % static_cast<std::uint32_t>(count),
                                        all.end());
       const RouteDecision decision =
-        ChooseTarget(state, some, { Importance::kNormal, 0, { NodeId{ 1 } }, step }, now);
+        ChooseTarget(state, some, { Importance::kNormal, 0, 0, { NodeId{ 1 } }, step }, now);
       RC_ASSERT(decision.verdict_ == RouteVerdict::kChosen);
       RC_ASSERT(std::any_of(some.begin(), some.end(), [&](const RouteCandidate& aCandidate) {
         return aCandidate.id_ == decision.target_;
--- a/packages/policy/tests/RoutingSlowTargetTest.cpp
+++ b/packages/policy/tests/RoutingSlowTargetTest.cpp
@@ -40,7 +40,7 @@
     for (const Instant end = now_ + aDuration; now_ < end; now_ += 5ms) {
       EndDue();
       const NodeId target =
-        ChooseTarget(state_, candidates_, { {}, {}, {}, Random() }, now_).target_;
+        ChooseTarget(state_, candidates_, { {}, {}, {}, {}, Random() }, now_).target_;
       state_ = NoteAttemptStart(std::move(state_), target, now_);
       ++all;
       slow += target.value_ == kSlowTarget;
@@ -155,15 +155,15 @@
          SpareCase{ "queue", { kHighestAdmissionLevel, 4, 3, 1 }, false },
          SpareCase{ "lowered level", { AdmissionLevel{ 200 }, 4, 0, 0 }, false } }) {
     RoutingState state;
-    cr_assert(HasSpareCapacity(state, NodeId{ 1 }, kStart), "%s", item.name_);
+    cr_assert(HasSpareCapacity(state, NodeId{ 1 }, 0, kStart), "%s", item.name_);
     state = NoteAttemptStart(std::move(state), NodeId{ 1 }, kStart);
     state = NoteAttemptEnd(std::move(state),
                            { NodeId{ 1 }, AttemptOutcome::kSucceeded, 1ms, item.load_ },
                            targets,
                            kStart);
     cr_assert_eq(
-      HasSpareCapacity(state, NodeId{ 1 }, kStart + 500ms), item.isSpare_, "%s", item.name_);
+      HasSpareCapacity(state, NodeId{ 1 }, 0, kStart + 500ms), item.isSpare_, "%s", item.name_);
     // A report that is no longer recent says nothing.
-    cr_assert(HasSpareCapacity(state, NodeId{ 1 }, kStart + 5s), "%s", item.name_);
+    cr_assert(HasSpareCapacity(state, NodeId{ 1 }, 0, kStart + 5s), "%s", item.name_);
   }
 }
