--- a/packages/policy/tests/CallDependenciesTest.cpp
+++ b/packages/policy/tests/CallDependenciesTest.cpp
@@ -3,7 +3,7 @@
  * early refusals of requests that can do without the deeper service.
  */
 #include "policy/CallDependencies.h"
-#include "policy/Routing.h"
+#include "policy/Inbound.h"
 
 #include <criterion/criterion.h>
 
@@ -81,3 +81,31 @@
   cr_assert(ServiceLevel(state, targets, kKind, now + std::chrono::seconds(5)) ==
             kHighestAdmissionLevel);
 }
+
+/** The level of a required service has to reach the entry with the answers for that kind only. */
+Test(call_dependencies, the_load_report_of_a_kind_has_the_level_of_its_required_calls)
+{
+  const Instant now{ std::chrono::seconds(10) };
+  NodeSettings settings;
+  settings.identity_.id_ = NodeId{ 1 };
+  settings.identity_.service_ = "front";
+  NodeState state = MakeNodeState(settings, now);
+  state.lifecycle_.backendHealthy_ = true;
+  state.lifecycle_.phase_ = LifecyclePhase::kServing;
+  const DeeperCall call{ "front", "work" };
+  AttemptReport attempt;
+  attempt.target_ = NodeId{ 1 };
+  attempt.load_ = LoadReport{ AdmissionLevel{ 100 }, 4, 4, 4 };
+  attempt.kindKey_ = StableHash(call.kind_);
+  state.routing_ = NoteAttemptStart(std::move(state.routing_), attempt.target_, now);
+  state.routing_ = NoteAttemptEnd(std::move(state.routing_), attempt, {}, now);
+  ReduceContext context;
+  context.now_ = now;
+  cr_assert(MakeLoadReport(state, context, "list").level_ == kHighestAdmissionLevel);
+  for (int i = 0; i < 3; ++i) {
+    state.inbound_.dependencies_ =
+      NoteRefusedCall(std::move(state.inbound_.dependencies_), StableHash("list"), call, true);
+  }
+  cr_assert_eq(MakeLoadReport(state, context, "list").level_.admitBelow_, 100);
+  cr_assert(MakeLoadReport(state, context, "browse").level_ == kHighestAdmissionLevel);
+}
