Bound the memory of decoded messages and take one encoding only

Cause: cereal resizes a vector to its declared count before it reads an element. SizeTag held the count to one byte for each element, while elements take up to 240 bytes. Booleans other than 0 and 1, and map and set keys in any order or repeated, were taken too, so one value had several encodings.

Not bounded to 16 times: a list of UnreadableRecord (12 bytes each, 240 in memory), which no node sends.

--- a/packages/wire/BoundedArchive.h
+++ b/packages/wire/BoundedArchive.h
@@ -1,6 +1,7 @@
 /** \file
- * A cereal input archive over a byte range that rejects container sizes larger than the input, so
- * that a damaged message cannot cause a large allocation.
+ * A cereal input archive over a byte range that rejects container sizes larger than the input and
+ * allocates elements only as they are read, so that a damaged message cannot cause a large
+ * allocation. It takes only the bytes that the output archive writes for a value.
  */
 #pragma once
 
@@ -8,8 +9,12 @@
 #include <cereal/cereal.hpp>
 #include <cstdint>
 #include <cstring>
+#include <map>
+#include <set>
 #include <string_view>
 #include <type_traits>
+#include <utility>
+#include <vector>
 
 namespace fulmarway {
 
@@ -50,6 +55,9 @@
   if constexpr (std::is_same_v<T, bool>) {
     std::uint8_t byte = 0;
     aArchive.LoadBytes(&byte, sizeof byte);
+    if (byte > 1) {
+      throw cereal::Exception("boolean is neither 0 nor 1");
+    }
     aValue = byte != 0;
   } else {
     aArchive.LoadBytes(std::addressof(aValue), sizeof aValue);
@@ -80,4 +88,54 @@
   aArchive.LoadBytes(aData.data, static_cast<std::size_t>(aData.size));
 }
 
+/** Grows with the elements that are there. cereal would allocate the declared number of elements,
+ * each of which may be hundreds of times larger than the byte that SizeTag asks for. */
+template<class T, class A>
+std::enable_if_t<!std::is_arithmetic_v<T>>
+CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& aArchive, std::vector<T, A>& aVector)
+{
+  cereal::size_type size = 0;
+  aArchive(cereal::make_size_tag(size));
+  aVector.clear();
+  for (; size > 0; --size) {
+    aArchive(aVector.emplace_back());
+  }
+}
+
+/** Takes keys in the order in which they are written only, so that a state has one encoding. */
+template<class T, class C, class A>
+void
+CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& aArchive, std::set<T, C, A>& aSet)
+{
+  cereal::size_type size = 0;
+  aArchive(cereal::make_size_tag(size));
+  aSet.clear();
+  for (; size > 0; --size) {
+    T key;
+    aArchive(key);
+    if (!aSet.empty() && !aSet.key_comp()(*aSet.rbegin(), key)) {
+      throw cereal::Exception("keys are not in ascending order");
+    }
+    aSet.insert(aSet.end(), std::move(key));
+  }
+}
+
+template<class K, class T, class C, class A>
+void
+CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& aArchive, std::map<K, T, C, A>& aMap)
+{
+  cereal::size_type size = 0;
+  aArchive(cereal::make_size_tag(size));
+  aMap.clear();
+  for (; size > 0; --size) {
+    K key;
+    T value;
+    aArchive(key, value);
+    if (!aMap.empty() && !aMap.key_comp()(aMap.rbegin()->first, key)) {
+      throw cereal::Exception("keys are not in ascending order");
+    }
+    aMap.emplace_hint(aMap.end(), std::move(key), std::move(value));
+  }
+}
+
 } // namespace fulmarway
--- /dev/null
+++ b/packages/wire/tests/MessageFuzzTest.cpp
@@ -0,0 +1,216 @@
+/** \file
+ * Guards against messages from peers or the log that change on their way, that crash the decoder,
+ * or that make it allocate much more than their size. Damaged payloads get a valid MAC, so that the
+ * MAC does not hide the decoder.
+ */
+#include "AllocationMeter.h"
+#include "AnyValue.h"
+#include "wire/Frame.h"
+
+#include <criterion/criterion.h>
+#include <cstring>
+#include <rapidcheck.h>
+
+using namespace fulmarway;
+using namespace fulmarway::test;
+
+namespace {
+
+const ClusterKey kKey{ "0123456789abcdef" };
+constexpr std::size_t kLengthBytes = 4;
+
+/** A decoded message may be larger than its bytes: a vector of small elements while it grows. */
+constexpr std::size_t kMaxGrowth = 16;
+constexpr std::size_t kSmallMessageBytes = 4096;
+
+std::string
+Seal(const std::string& aPayload)
+{
+  const Bits128 mac = ComputeMac(kKey, aPayload);
+  return std::string(reinterpret_cast<const char*>(&mac), sizeof mac) + aPayload;
+}
+
+/** The length of a frame in front of its MAC and payload. */
+std::string
+WithLength(const std::string& aSealed)
+{
+  const auto length = static_cast<std::uint32_t>(aSealed.size());
+  return std::string(reinterpret_cast<const char*>(&length), sizeof length) + aSealed;
+}
+
+/** One of the three kinds of sealed messages, all without the length of a frame. */
+struct FrameForm
+{
+  using Message = PeerMessage;
+  using Part = PeerMessage;
+
+  static Message Make(Random& aRandom, std::size_t aIndex)
+  {
+    return AnyAlternative<PeerMessage>(aRandom, aIndex);
+  }
+  static std::string Encode(const Message& aMessage)
+  {
+    return EncodeFrame(kKey, aMessage).substr(kLengthBytes);
+  }
+  static std::optional<Message> Decode(const std::string& aSealed)
+  {
+    FrameBuffer buffer;
+    auto messages = DecodeFrames(kKey, buffer, WithLength(aSealed));
+    return messages && messages->size() == 1 ? std::optional(messages->front()) : std::nullopt;
+  }
+};
+
+struct DatagramForm
+{
+  using Message = GossipMessage;
+  using Part = GossipBody;
+
+  static Message Make(Random& aRandom, std::size_t aIndex)
+  {
+    auto message = Any<GossipMessage>(aRandom);
+    message.body_ = AnyAlternative<GossipBody>(aRandom, aIndex);
+    return message;
+  }
+  static std::string Encode(const Message& aMessage) { return EncodeDatagram(kKey, aMessage); }
+  static std::optional<Message> Decode(const std::string& aSealed)
+  {
+    auto message = DecodeDatagram(kKey, aSealed);
+    return message ? std::optional(*message) : std::nullopt;
+  }
+};
+
+struct RecordForm
+{
+  using Message = LogRecord;
+  using Part = LogRecord;
+
+  static Message Make(Random& aRandom, std::size_t aIndex)
+  {
+    return AnyAlternative<LogRecord>(aRandom, aIndex);
+  }
+  static std::string Encode(const Message& aMessage) { return EncodeLogRecord(kKey, aMessage); }
+  static std::optional<Message> Decode(const std::string& aSealed)
+  {
+    auto record = DecodeLogRecord(kKey, aSealed);
+    return record ? std::optional(*record) : std::nullopt;
+  }
+};
+
+Random
+AnyRandom()
+{
+  return Random(*rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()));
+}
+
+/** Decodes within the memory bound. Bytes that are taken must be those that the message encodes to:
+ * two forms of one message would be told apart by digests and MACs. */
+template<typename Form>
+void
+CheckSealed(const std::string& aSealed)
+{
+  const AllocationMeter meter;
+  const auto message = Form::Decode(aSealed);
+  const std::size_t peak = meter.PeakBytes();
+  RC_ASSERT(peak <= kMaxGrowth * aSealed.size() + kSmallMessageBytes);
+  // RC_ASSERT does not short-cut || on its outermost level.
+  RC_ASSERT((!message || Form::Encode(*message) == aSealed));
+}
+
+template<typename Form>
+void
+CheckForm()
+{
+  constexpr std::size_t kParts = std::variant_size_v<typename Form::Part>;
+  cr_assert(rc::check("round trip of every alternative", [] {
+    Random random = AnyRandom();
+    for (std::size_t index = 0; index < kParts; ++index) {
+      const auto message = Form::Make(random, index);
+      RC_ASSERT(Form::Decode(Form::Encode(message)) == std::optional(message));
+    }
+  }));
+  cr_assert(rc::check("a changed or cut message is refused", [] {
+    Random random = AnyRandom();
+    const std::string sealed = Form::Encode(Form::Make(random, Below(random, kParts)));
+    std::string damaged = sealed;
+    damaged[Below(random, sealed.size())] ^= static_cast<char>(1U << Below(random, 8));
+    RC_ASSERT(!Form::Decode(damaged));
+    RC_ASSERT(!Form::Decode(sealed.substr(0, Below(random, sealed.size()))));
+    CheckSealed<Form>(AnyBytes(random, 200));
+  }));
+  cr_assert(rc::check("damage under a valid MAC", [] {
+    Random random = AnyRandom();
+    for (std::size_t index = 0; index < kParts; ++index) {
+      std::string payload = Form::Encode(Form::Make(random, index)).substr(sizeof(Bits128));
+      Damage(random, payload);
+      CheckSealed<Form>(Seal(payload));
+    }
+    CheckSealed<Form>(Seal(AnyBytes(random, 200)));
+  }));
+}
+
+} // namespace
+
+Test(message_fuzz, frames)
+{
+  CheckForm<FrameForm>();
+}
+
+Test(message_fuzz, datagrams)
+{
+  CheckForm<DatagramForm>();
+}
+
+Test(message_fuzz, log_records)
+{
+  CheckForm<RecordForm>();
+}
+
+// Guards against a declared count that reserves memory for elements that are not there.
+Test(message_fuzz, declared_counts_take_no_memory)
+{
+  constexpr std::size_t kPayloadBytes = 1U << 20;
+  GossipMessage gossip;
+  gossip.body_ = RecordsReply{};
+  std::string payload = EncodeDatagram(kKey, gossip).substr(sizeof(Bits128));
+  const std::uint64_t count = kPayloadBytes;
+  payload.replace(payload.size() - sizeof count,
+                  sizeof count,
+                  reinterpret_cast<const char*>(&count),
+                  sizeof count);
+  const std::string sealed = Seal(payload + std::string(kPayloadBytes, '\xff'));
+  const AllocationMeter meter;
+  cr_assert_not(DecodeDatagram(kKey, sealed).has_value());
+  cr_assert_leq(meter.PeakBytes(), kPayloadBytes, "%zu bytes", meter.PeakBytes());
+}
+
+Test(message_fuzz, frames_do_not_depend_on_how_the_stream_is_cut)
+{
+  cr_assert(rc::check("whole and in parts", [] {
+    Random random = AnyRandom();
+    std::string stream;
+    std::vector<PeerMessage> sent;
+    for (std::size_t count = Below(random, 5); count > 0; --count) {
+      sent.push_back(Any<PeerMessage>(random));
+      stream += EncodeFrame(kKey, sent.back());
+    }
+    FrameBuffer buffer;
+    std::vector<PeerMessage> received;
+    for (std::string_view rest = stream; !rest.empty();) {
+      const std::size_t size = std::min(1 + Below(random, 300), rest.size());
+      const auto messages = DecodeFrames(kKey, buffer, rest.substr(0, size));
+      RC_ASSERT(messages.has_value());
+      received.insert(received.end(), messages->begin(), messages->end());
+      rest.remove_prefix(size);
+    }
+    RC_ASSERT(received == sent);
+    RC_ASSERT(buffer.bytes_.empty());
+  }));
+}
+
+Test(message_fuzz, length_above_the_limit_is_refused_before_the_payload)
+{
+  const std::uint32_t length = kMaxFrameBytes + sizeof(Bits128) + 1;
+  FrameBuffer buffer;
+  cr_assert_not(
+    DecodeFrames(kKey, buffer, { reinterpret_cast<const char*>(&length), sizeof length }));
+}
