--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -1,10 +1,10 @@
 #include "node/Settings.h"
 
 #include "model/Address.h"
+#include "wire/Number.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/IPAddress.h>
-#include <Poco/NumberParser.h>
 #include <algorithm>
 #include <array>
 #include <cxxopts.hpp>
@@ -118,14 +118,13 @@
     return std::nullopt;
   }
   Poco::Net::IPAddress host;
-  unsigned port = 0;
+  const auto port = ParseNumber(std::string_view(aText).substr(colon + 1));
   constexpr unsigned kMaxPort = 65535;
-  if (!Poco::Net::IPAddress::tryParse(aText.substr(0, colon), host) ||
-      !Poco::NumberParser::tryParseUnsigned(aText.substr(colon + 1), port) || port == 0 ||
-      port > kMaxPort) {
+  if (!Poco::Net::IPAddress::tryParse(aText.substr(0, colon), host) || !port || *port == 0 ||
+      *port > kMaxPort) {
     return std::nullopt;
   }
-  return Poco::Net::SocketAddress(host, static_cast<Poco::UInt16>(port));
+  return Poco::Net::SocketAddress(host, static_cast<Poco::UInt16>(*port));
 }
 
 std::vector<std::string>
@@ -179,9 +178,8 @@
     case SettingKind::kNumber:
       break;
   }
-  Poco::UInt64 number = 0;
-  if (Poco::NumberParser::tryParseUnsigned64(aValue, number) && number >= aSpec.low_ &&
-      number <= aSpec.high_) {
+  const auto number = ParseNumber(aValue);
+  if (number && *number >= aSpec.low_ && *number <= aSpec.high_) {
     return std::nullopt;
   }
   return "a number from " + std::to_string(aSpec.low_) + " to " + std::to_string(aSpec.high_);
@@ -210,7 +208,7 @@
 Duration
 Milliseconds(const std::string& aValue)
 {
-  return std::chrono::milliseconds(Poco::NumberParser::parseUnsigned64(aValue));
+  return std::chrono::milliseconds(*ParseNumber(aValue));
 }
 
 ProcessSettings
@@ -222,7 +220,7 @@
   settings.adminListen_ = *ParseAddress(aValues.at("admin-listen"));
   settings.backend_ = *ParseAddress(aValues.at("backend"));
   settings.logService_ = ParseAddress(aValues.at("log-service"));
-  settings.maxConnections_ = Poco::NumberParser::parseUnsigned64(aValues.at("max-connections"));
+  settings.maxConnections_ = *ParseNumber(aValues.at("max-connections"));
   settings.logLevel_ = aValues.at("log-level");
 
   NodeSettings& node = settings.node_;
@@ -236,8 +234,7 @@
   node.seeds_ = SplitList(aValues.at("seeds"));
   node.stopTimeout_ = Milliseconds(aValues.at("stop-timeout-ms"));
   node.logPollInterval_ = Milliseconds(aValues.at("log-poll-ms"));
-  node.logRetention_ =
-    std::chrono::seconds(Poco::NumberParser::parseUnsigned64(aValues.at("log-retention-seconds")));
+  node.logRetention_ = std::chrono::seconds(*ParseNumber(aValues.at("log-retention-seconds")));
   return settings;
 }
 
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -1,8 +1,8 @@
 #include "wire/HttpMapping.h"
 
 #include "model/Address.h"
+#include "wire/Number.h"
 
-#include <Poco/NumberParser.h>
 #include <algorithm>
 #include <cmath>
 
@@ -58,15 +58,14 @@
   if (!aHead.has(aName)) {
     return std::nullopt;
   }
-  unsigned value = 0;
-  if (!Poco::NumberParser::tryParseUnsigned(aHead.get(aName), value) || value < aLow ||
-      value > aHigh) {
+  const auto value = ParseNumber(aHead.get(aName));
+  if (!value || *value < aLow || *value > aHigh) {
     return Invalid(400,
                    aName,
                    "expected a number from " + std::to_string(aLow) + " to " +
                      std::to_string(aHigh));
   }
-  return value;
+  return static_cast<unsigned>(*value);
 }
 
 tl::expected<void, InvalidRequest>
@@ -262,7 +261,10 @@
 {
   SetStatus(aInvalid.status_, aHead);
   aHead.set(header::kVerdict, std::string(ToString(Verdict::kNotRun)));
-  aHead.set(header::kReason, std::string(ToString(Reason::kInvalidRequest)));
+  const Reason reason = aInvalid.status_ == HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE
+                          ? Reason::kTooLarge
+                          : Reason::kInvalidRequest;
+  aHead.set(header::kReason, std::string(ToString(reason)));
   aHead.setContentType("text/plain");
   return "not-run: " + aInvalid.error_.subject_ + ": " + aInvalid.error_.message_ + "\n";
 }
