Bound chunk lines and trailers and refuse ambiguous HTTP heads

Cause: TakeChunked searched the whole buffer for the end of a chunk line or of the trailer, so a peer that never sent it made the buffer grow without end, and extensions of small chunks could take many times the body. POCO's head parser takes "Content-Length : 3" as an unknown header (the body is then read as the next request), ends the head at a bare "\n\n", takes folded lines and lines without a colon, and decodes RFC 2047 words: the Content-Type "=?utf-8?Q?a=0D=0AX-Added:_1?=" became two header lines, and Content-Type is passed on to the backend server. Now a chunk line is at most 256 bytes, a trailer 16 KiB, all chunk lines 16 KiB more than the body limit; heads must have plain lines and values.

--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -1,9 +1,10 @@
 #include "wire/HttpFraming.h"
 
+#include "wire/Number.h"
+
 #include <Poco/Exception.h>
 #include <Poco/String.h>
 #include <algorithm>
-#include <charconv>
 #include <sstream>
 
 namespace fulmarway {
@@ -13,6 +14,8 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr int kMaxHeaderFields = 100;
+/** A chunk size and its extensions, which are ignored. */
+constexpr std::size_t kMaxChunkLineBytes = 256;
 
 enum class BodyProblem : std::uint8_t
 {
@@ -30,27 +33,34 @@
 
 using BodyResult = tl::expected<std::optional<FramedBody>, BodyProblem>;
 
-std::optional<std::size_t>
-ParseNumber(std::string_view aText, int aBase)
+/** Finds the first aEnd at or after aPosition; nullopt while it may still arrive. */
+tl::expected<std::optional<std::size_t>, BodyProblem>
+FindWithin(std::string_view aBuffer,
+           std::string_view aEnd,
+           std::size_t aPosition,
+           std::size_t aMaxBytes)
 {
-  std::size_t value = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value, aBase);
-  if (aText.empty() || error != std::errc{} || parsedTo != end) {
-    return std::nullopt;
+  const std::string_view window = aBuffer.substr(aPosition, aMaxBytes + aEnd.size());
+  const std::size_t found = window.find(aEnd);
+  if (found != std::string_view::npos) {
+    return aPosition + found;
+  }
+  if (window.size() == aMaxBytes + aEnd.size()) {
+    return tl::unexpected(BodyProblem::kMalformed);
   }
-  return value;
+  return std::nullopt;
 }
 
-/** Finds the end of the trailer section that follows the last chunk. */
-std::optional<std::size_t>
+/** Finds the end of the trailer section, which is ignored. aPosition is the end of the line of the
+ * last chunk, without its line end. */
+tl::expected<std::optional<std::size_t>, BodyProblem>
 FindTrailerEnd(std::string_view aBuffer, std::size_t aPosition)
 {
-  if (aBuffer.substr(aPosition, kLineEnd.size()) == kLineEnd) {
-    return aPosition + kLineEnd.size();
+  auto end = FindWithin(aBuffer, kHeadEnd, aPosition, kMaxHeaderBytes);
+  if (end && *end) {
+    **end += kHeadEnd.size();
   }
-  const std::size_t end = aBuffer.find(kHeadEnd, aPosition);
-  return end == std::string_view::npos ? std::nullopt : std::optional(end + kHeadEnd.size());
+  return end;
 }
 
 BodyResult
@@ -59,28 +69,36 @@
   FramedBody framed;
   std::size_t position = aStart;
   while (true) {
-    const std::size_t lineEnd = aBuffer.find(kLineEnd, position);
-    if (lineEnd == std::string_view::npos) {
+    const auto lineEnd = FindWithin(aBuffer, kLineEnd, position, kMaxChunkLineBytes);
+    if (!lineEnd) {
+      return tl::unexpected(lineEnd.error());
+    }
+    if (!*lineEnd) {
       return std::nullopt;
     }
-    std::string_view line = aBuffer.substr(position, lineEnd - position);
+    std::string_view line = aBuffer.substr(position, **lineEnd - position);
     line = line.substr(0, std::min(line.find(';'), line.size()));
     const auto size = ParseNumber(line, 16);
     if (!size) {
       return tl::unexpected(BodyProblem::kMalformed);
     }
-    if (*size > aMaxBytes - framed.body_.size()) {
+    // The buffer holds the chunk lines too; without a bound they could take many times the body.
+    const std::size_t framingBytes = position - aStart - framed.body_.size();
+    if (*size > aMaxBytes - framed.body_.size() || framingBytes > aMaxBytes + kMaxHeaderBytes) {
       return tl::unexpected(BodyProblem::kTooLarge);
     }
-    position = lineEnd + kLineEnd.size();
     if (*size == 0) {
-      const auto end = FindTrailerEnd(aBuffer, position);
+      const auto end = FindTrailerEnd(aBuffer, **lineEnd);
       if (!end) {
+        return tl::unexpected(end.error());
+      }
+      if (!*end) {
         return std::nullopt;
       }
-      framed.end_ = *end;
+      framed.end_ = **end;
       return framed;
     }
+    position = **lineEnd + kLineEnd.size();
     if (aBuffer.size() < position + *size + kLineEnd.size()) {
       return std::nullopt;
     }
@@ -143,18 +161,55 @@
   return FramedBody{ std::string(aBuffer.substr(aStart, *length)), aStart + *length };
 }
 
-/** Parses the head; nullopt when it is malformed. */
+bool
+IsControl(char aChar)
+{
+  return (static_cast<unsigned char>(aChar) < ' ' && aChar != '\t') || aChar == '\x7f';
+}
+
+/** Whether each line is the first one or "NAME: VALUE", ended by CR LF. POCO also takes other line
+ * ends, folded lines, spaces around names and lines without a colon, which other readers take
+ * differently. */
+bool
+HasPlainLines(std::string_view aText)
+{
+  for (bool isFirst = true; !aText.starts_with(kLineEnd); isFirst = false) {
+    const std::size_t end = std::min(aText.find(kLineEnd), aText.size());
+    const std::string_view line = aText.substr(0, end);
+    const std::size_t nameEnd = line.find_first_of(": \t");
+    const bool isField = nameEnd > 0 && nameEnd < end && line[nameEnd] == ':';
+    if (std::any_of(line.begin(), line.end(), IsControl) || !(isFirst || isField)) {
+      return false;
+    }
+    aText.remove_prefix(std::min(end + kLineEnd.size(), aText.size()));
+  }
+  return true;
+}
+
+/** POCO decodes encoded words (RFC 2047) in values; they may hold line ends. */
+bool
+HasPlainValues(const Poco::Net::HTTPMessage& aHead)
+{
+  return std::all_of(aHead.begin(), aHead.end(), [](const auto& aField) {
+    return std::none_of(aField.second.begin(), aField.second.end(), IsControl);
+  });
+}
+
+/** Parses the head, which ends with an empty line; nullopt when it is malformed. */
 template<typename Head>
 std::optional<Head>
 ParseHead(std::string_view aText)
 {
+  if (!HasPlainLines(aText)) {
+    return std::nullopt;
+  }
   try {
     Head head;
     head.setFieldLimit(kMaxHeaderFields);
     std::istringstream stream{ std::string(aText) };
     head.read(stream);
-    return head;
-  } catch (const Poco::Exception&) {
+    return HasPlainValues(head) ? std::optional(head) : std::nullopt;
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/packages/wire/tests/HttpBodyLengthTest.cpp
+++ b/packages/wire/tests/HttpBodyLengthTest.cpp
@@ -73,6 +73,60 @@
   }
 }
 
+// Guards against a buffer that grows without end while a line or the trailer is incomplete.
+Test(http_body_length, chunk_lines_and_trailers_are_bounded)
+{
+  const std::string head =
+    "POST /v1/call/a/b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string extensions;
+  std::string smallChunks;
+  for (int i = 0; i < 1000; ++i) {
+    extensions += "1;" + std::string(200, 'e') + "\r\nx\r\n";
+    smallChunks += "1\r\nx\r\n";
+  }
+  const std::string endless[] = {
+    std::string(100000, '0'),
+    "0;" + std::string(100000, 'e'),
+    "0;" + std::string(100000, 'e') + "\r\n\r\n",
+    "0\r\n" + std::string(100000, 't'),
+    "0\r\n" + std::string(100000, 't') + "\r\n\r\n",
+    extensions,
+  };
+  for (const std::string& body : endless) {
+    std::string buffer = head + body;
+    cr_assert_not(TakeHttpRequest(buffer, kMaxBody), "accepted %s", body.substr(0, 10).c_str());
+  }
+  std::string buffer = head + smallChunks + "0;e=1\r\nTrailer: t\r\n\r\n";
+  const auto taken = TakeHttpRequest(buffer, kMaxBody);
+  cr_assert(taken && *taken, "small chunks, an extension and a trailer");
+  cr_assert_eq((*taken)->body_.size(), 1000);
+}
+
+// Guards against heads that another reader divides differently, and against header lines that
+// appear only after POCO has decoded a value and would be passed on to the backend server.
+Test(http_body_length, ambiguous_heads_are_refused)
+{
+  for (const std::string field : { "Content-Length : 3",
+                                   "Content-Length\t: 3",
+                                   " Content-Length: 3",
+                                   "no colon",
+                                   ": no name",
+                                   "A: b\n",
+                                   "A: b\nContent-Length: 3",
+                                   "A: b\rC: d",
+                                   "A: b\r\n folded",
+                                   "A: \x01",
+                                   "Content-Type: =?utf-8?Q?a=0D=0AX-Added:_1?=",
+                                   "Content-Type: =?utf-8?B?YQpiOiBj?=" }) {
+    for (const std::string line : { "POST /v1/call/a/b HTTP/1.1", "HTTP/1.1 200 OK" }) {
+      std::string buffer = line + "\r\n" + field + "\r\nContent-Length: 3\r\n\r\nabc";
+      const bool refused = line.starts_with('P') ? !TakeHttpRequest(buffer, kMaxBody)
+                                                 : !TakeHttpResponse(buffer, kMaxBody);
+      cr_assert(refused, "accepted %s after %s", field.c_str(), line.c_str());
+    }
+  }
+}
+
 Test(http_body_length, arbitrary_bytes_never_give_more_than_the_input)
 {
   cr_assert(rc::check("TakeHttpRequest is total", [](const std::string& aBytes) {
