--- a/packages/platform/LogProtocol.cpp
+++ b/packages/platform/LogProtocol.cpp
@@ -1,25 +1,16 @@
 #include "platform/LogProtocol.h"
 
 #include "wire/Frame.h"
+#include "wire/Number.h"
 
-#include <charconv>
+#include <limits>
 #include <optional>
 
 namespace fulmarway {
 
 namespace {
 
-std::optional<std::uint64_t>
-ParseDecimal(std::string_view aText)
-{
-  std::uint64_t value = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value);
-  if (aText.empty() || error != std::errc{} || parsedTo != end) {
-    return std::nullopt;
-  }
-  return value;
-}
+constexpr std::uint64_t kMaxOffset = std::numeric_limits<std::uint64_t>::max();
 
 /** One record of the answer: "OFFSET LENGTH\n", the bytes, "\n". */
 struct RawRecord
@@ -37,8 +28,8 @@
   if (space == std::string_view::npos || lineEnd == std::string_view::npos || space > lineEnd) {
     return std::nullopt;
   }
-  const auto offset = ParseDecimal(aBody.substr(0, space));
-  const auto length = ParseDecimal(aBody.substr(space + 1, lineEnd - space - 1));
+  const auto offset = ParseNumber(aBody.substr(0, space));
+  const auto length = ParseNumber(aBody.substr(space + 1, lineEnd - space - 1));
   aBody.remove_prefix(lineEnd + 1);
   if (!offset || !length || *length >= aBody.size() || aBody[*length] != '\n') {
     return std::nullopt;
@@ -73,10 +64,13 @@
     return tl::unexpected(UserError{ "append answer", "has no offset" });
   }
   aBody.remove_prefix(start + kField.size());
+  // Without the end of the object or the name of the next member the number may be cut.
   const std::size_t end = aBody.find_first_of(",}");
-  const auto offset = ParseDecimal(aBody.substr(0, end));
+  const std::size_t next = aBody.find_first_not_of(" ,", end);
+  const bool isWhole = next != std::string_view::npos && (aBody[next] == '}' || aBody[next] == '"');
+  const auto offset = isWhole ? ParseNumber(aBody.substr(0, end)) : std::nullopt;
   if (!offset) {
-    return tl::unexpected(UserError{ "append answer", "offset is not a number" });
+    return tl::unexpected(UserError{ "append answer", "offset is not a whole number" });
   }
   return *offset;
 }
@@ -87,15 +81,16 @@
                 std::string_view aLatest,
                 std::string_view aBody)
 {
-  const auto earliest = ParseDecimal(aEarliest);
-  const auto latest = ParseDecimal(aLatest);
+  const auto earliest = ParseNumber(aEarliest);
+  const auto latest = ParseNumber(aLatest);
   if (!earliest || !latest) {
     return tl::unexpected(UserError{ "read answer", "has no earliest or latest offset" });
   }
   LogBatch batch{ *earliest, *latest, {}, 0, 0 };
   while (!aBody.empty()) {
     const auto raw = TakeRecord(aBody);
-    if (!raw || raw->offset_ < batch.next_) {
+    // The offset after the largest one would be 0 again.
+    if (!raw || raw->offset_ < batch.next_ || raw->offset_ == kMaxOffset) {
       return tl::unexpected(UserError{ "read answer", "malformed or unordered record" });
     }
     batch.next_ = raw->offset_ + 1;
