Take HTTP messages of the stand-ins with the framing of the nodes

Cause: standins/support had a second parser of HTTP messages with rules of its own: a response without a length counted as empty, and a cut could pass for a whole response in the answer check; chunked bodies were refused.

Not measured: the CPU time of the load generator. scripts/demo was not run.

--- a/standins/support/HttpMessage.h
+++ b/standins/support/HttpMessage.h
@@ -1,5 +1,5 @@
 /** \file
- * HTTP/1.1 messages with a Content-Length, taken from and written to byte buffers.
+ * HTTP/1.1 messages taken from byte buffers, with the framing of the nodes, and written to them.
  */
 #pragma once
 
@@ -36,7 +36,7 @@
 FindNumber(const HttpMessage& aMessage, std::string_view aName);
 
 /** Removes the first whole message from aBuffer; nullopt while it is incomplete. The error says
- * what is malformed. Chunked bodies are not supported. */
+ * what is malformed. */
 tl::expected<std::optional<HttpMessage>, std::string>
 TakeRequest(std::string& aBuffer);
 
