Share the command line code of the stand-ins

Cause: the three Main.cpp files each had the parsing of the command line, the help text and the printing of errors; the load generator and the backend server also had the same reading of repeated options. support/Arguments.h holds it now. Errors of log-service get the name of the program in front, like the others.

--- a/standins/backend-server/Main.cpp
+++ b/standins/backend-server/Main.cpp
@@ -1,21 +1,13 @@
 /** \file
  * Stand-in for a backend server. Prints one line when it listens, and serves until SIGTERM.
  */
-// Values such as --kind contain commas, so repeated options are not split at them.
-#define CXXOPTS_VECTOR_DELIMITER '\0'
-
 #include "BackendServer.h"
-
-#include <Poco/Exception.h>
-#include <cxxopts.hpp>
-#include <iostream>
+#include "support/Arguments.h"
 
 using namespace fulmarway::standins;
 
 namespace {
 
-constexpr int kExitBadSettings = 2;
-
 cxxopts::Options
 DescribeOptions()
 {
@@ -42,17 +34,12 @@
   add("call-retries", "repeats of a failed direct call", number("0"));
   add("call-timeout-ms", "for deeper calls without a deadline", number("2000"));
   add("keep-abandoned", "go on with work whose caller has closed the connection");
-  add("help", "print this text");
   return options;
 }
 
 BackendSettings
 SettingsOf(const cxxopts::ParseResult& aParsed)
 {
-  const auto list = [&](const char* aName) {
-    return aParsed.count(aName) > 0 ? aParsed[aName].as<std::vector<std::string>>()
-                                    : std::vector<std::string>{};
-  };
   const auto milliseconds = [&](const char* aName) {
     return std::chrono::milliseconds(aParsed[aName].as<std::uint64_t>());
   };
@@ -68,11 +55,11 @@
   if (aParsed.count("plan") > 0) {
     settings.plan_ = ReadPlan(aParsed["plan"].as<std::string>());
   }
-  for (const std::string& text : list("kind")) {
+  for (const std::string& text : ListOf(aParsed, "kind")) {
     const KindPlan kind = ParseKindPlan(text);
     settings.plan_[kind.path_] = kind;
   }
-  for (const std::string& text : list("once")) {
+  for (const std::string& text : ListOf(aParsed, "once")) {
     settings.oncePaths_.insert(NormalPath(text));
   }
   const std::string distribution = aParsed["distribution"].as<std::string>();
@@ -84,7 +71,7 @@
     distribution == "constant" ? Distribution::kConstant : Distribution::kExponential;
   settings.coldStart_ = milliseconds("cold-start-ms");
   settings.seed_ = aParsed["seed"].as<std::uint64_t>();
-  settings.peers_ = ParseServiceAddresses(list("peers"));
+  settings.peers_ = ParseServiceAddresses(ListOf(aParsed, "peers"));
   settings.callRetries_ = aParsed["call-retries"].as<std::uint64_t>();
   settings.callTimeout_ = milliseconds("call-timeout-ms");
   settings.keepAbandoned_ = aParsed.count("keep-abandoned") > 0;
@@ -96,24 +83,12 @@
 int
 main(int aCount, char** aArguments)
 {
-  cxxopts::Options options = DescribeOptions();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << '\n';
-      return 0;
-    }
-    const BackendSettings settings = SettingsOf(parsed);
+  return RunProgram(DescribeOptions(), aCount, aArguments, [](const cxxopts::ParseResult& aParsed) {
+    const BackendSettings settings = SettingsOf(aParsed);
     StopOnSignals();
     EventLoop loop;
     const BackendServer server(loop, settings);
     std::cout << "listening on " << settings.listen_.toString() << std::endl;
     loop.Run();
-    return 0;
-  } catch (const Poco::Exception& error) {
-    std::cerr << "backend-server: " << error.displayText() << '\n';
-  } catch (const std::exception& error) {
-    std::cerr << "backend-server: " << error.what() << '\n';
-  }
-  return kExitBadSettings;
+  });
 }
--- a/standins/load-generator/Main.cpp
+++ b/standins/load-generator/Main.cpp
@@ -1,22 +1,16 @@
 /** \file
  * Stand-in for callers: sends an open-loop load and reports what came back.
  */
-// Values such as --mix contain commas, so repeated options are not split at them.
-#define CXXOPTS_VECTOR_DELIMITER '\0'
-
 #include "Caller.h"
+#include "support/Arguments.h"
 
-#include <Poco/Exception.h>
 #include <algorithm>
-#include <cxxopts.hpp>
-#include <iostream>
 #include <stdexcept>
 
 using namespace fulmarway::standins;
 
 namespace {
 
-constexpr int kExitBadSettings = 2;
 constexpr std::chrono::seconds kFetchTimeout{ 10 };
 
 std::chrono::nanoseconds
@@ -55,17 +49,9 @@
   add("check", "IP:PORT,... of the backend servers whose executions are checked", text(""));
   add("check-once", "SERVICE/KIND of deeper calls that run at most once", list());
   add("json", "print JSON instead of lines");
-  add("help", "print this text");
   return options;
 }
 
-std::vector<std::string>
-ListOf(const cxxopts::ParseResult& aParsed, const char* aName)
-{
-  return aParsed.count(aName) > 0 ? aParsed[aName].as<std::vector<std::string>>()
-                                  : std::vector<std::string>{};
-}
-
 void
 AddSteps(std::string_view aText, std::vector<KindLoad>& aKinds)
 {
@@ -153,31 +139,19 @@
 int
 main(int aCount, char** aArguments)
 {
-  cxxopts::Options options = DescribeOptions();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << '\n';
-      return 0;
-    }
+  return RunProgram(DescribeOptions(), aCount, aArguments, [](const cxxopts::ParseResult& aParsed) {
     StopOnSignals();
     EventLoop loop;
-    Caller caller(loop, SettingsOf(parsed));
+    Caller caller(loop, SettingsOf(aParsed));
     loop.Run();
     const Report report = caller.TakeReport();
-    std::vector<std::string> oncePaths = ListOf(parsed, "once");
-    for (const std::string& path : ListOf(parsed, "check-once")) {
+    std::vector<std::string> oncePaths = ListOf(aParsed, "once");
+    for (const std::string& path : ListOf(aParsed, "check-once")) {
       oncePaths.push_back(path);
     }
     const std::string executions =
-      FetchExecutions(ParseAddresses(parsed["check"].as<std::string>()));
+      FetchExecutions(ParseAddresses(aParsed["check"].as<std::string>()));
     const ExecutionReport checked = CheckExecutions(report, executions, oncePaths);
-    std::cout << (parsed.count("json") > 0 ? ToJson(report, checked) : ToLines(report, checked));
-    return 0;
-  } catch (const Poco::Exception& error) {
-    std::cerr << "load-generator: " << error.displayText() << '\n';
-  } catch (const std::exception& error) {
-    std::cerr << "load-generator: " << error.what() << '\n';
-  }
-  return kExitBadSettings;
+    std::cout << (aParsed.count("json") > 0 ? ToJson(report, checked) : ToLines(report, checked));
+  });
 }
--- a/standins/log-service/Main.cpp
+++ b/standins/log-service/Main.cpp
@@ -4,6 +4,7 @@
 #include "LogStore.h"
 
 #include "model/Address.h"
+#include "support/Arguments.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -14,10 +15,9 @@
 #include <Poco/URI.h>
 #include <charconv>
 #include <csignal>
-#include <cxxopts.hpp>
-#include <iostream>
 #include <iterator>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 
 using namespace fulmarway;
@@ -269,7 +269,6 @@
 int
 main(int aCount, char** aArguments)
 {
-  constexpr int kUsage = 2;
   cxxopts::Options options("log-service", "Simulated log service; keeps records in memory.");
   options.add_options()(
     "listen", "Address IP:PORT", cxxopts::value<std::string>()->default_value("127.0.0.1:7900"));
@@ -279,26 +278,14 @@
   options.add_options()("appends-per-second",
                         "Further appends within a second get status 429",
                         cxxopts::value<std::uint32_t>()->default_value("400"));
-  options.add_options()("help", "Show this help");
-  try {
-    const auto flags = options.parse(aCount, aArguments);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    const auto listen = flags["listen"].as<std::string>();
+  return standins::RunProgram(options, aCount, aArguments, [](const cxxopts::ParseResult& aFlags) {
+    const auto listen = aFlags["listen"].as<std::string>();
     if (!IsNumericAddress(listen)) {
-      std::cerr << "--listen " << listen << ": must be IP:PORT, for example 127.0.0.1:7900\n";
-      return kUsage;
+      throw std::invalid_argument("--listen " + listen +
+                                  ": must be IP:PORT, for example 127.0.0.1:7900");
     }
     Serve(listen,
-          { std::chrono::seconds(flags["retention-seconds"].as<std::uint32_t>()),
-            flags["appends-per-second"].as<std::uint32_t>() });
-    return 0;
-  } catch (const cxxopts::exceptions::exception& fault) {
-    std::cerr << fault.what() << '\n';
-  } catch (const Poco::Exception& fault) {
-    std::cerr << fault.displayText() << '\n';
-  }
-  return kUsage;
+          { std::chrono::seconds(aFlags["retention-seconds"].as<std::uint32_t>()),
+            aFlags["appends-per-second"].as<std::uint32_t>() });
+  });
 }
--- /dev/null
+++ b/standins/support/Arguments.h
@@ -0,0 +1,50 @@
+/** \file
+ * The command lines of the stand-ins. Only for their Main.cpp, which link cxxopts.
+ */
+#pragma once
+
+// Values such as --kind and --mix contain commas, so repeated options are not split at them.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+
+#include <Poco/Exception.h>
+#include <cxxopts.hpp>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace fulmarway::standins {
+
+/** The values of a repeated option; empty when it is absent. */
+inline std::vector<std::string>
+ListOf(const cxxopts::ParseResult& aParsed, const char* aName)
+{
+  return aParsed.count(aName) > 0 ? aParsed[aName].as<std::vector<std::string>>()
+                                  : std::vector<std::string>{};
+}
+
+/** Parses the command line, prints the help text or calls aRun, and returns the exit status: 2 with
+ * one line on standard error when aRun or the parser throws. Adds the option --help. */
+template<typename Run>
+int
+RunProgram(cxxopts::Options aOptions, int aCount, char** aArguments, Run aRun)
+{
+  constexpr int kExitBadSettings = 2;
+  try {
+    aOptions.add_options()("help", "print this text");
+    const cxxopts::ParseResult parsed = aOptions.parse(aCount, aArguments);
+    if (parsed.count("help") > 0) {
+      std::cout << aOptions.help() << '\n';
+    } else {
+      aRun(parsed);
+    }
+    return 0;
+  } catch (const Poco::Exception& error) {
+    std::cerr << aOptions.program() << ": " << error.displayText() << '\n';
+  } catch (const std::exception& error) {
+    std::cerr << aOptions.program() << ": " << error.what() << '\n';
+  }
+  return kExitBadSettings;
+}
+
+} // namespace fulmarway::standins
