Send tickets of a replaced run to the holder of its tickets

Cause: a VM that starts again at the same address replaces its `left` record, so the other nodes forgot the successor. Tickets of the earlier run were answered `not-run` with a new ticket, or `may-have-run`.

Each node now keeps the moves: ended run, successor, successor's run. A node asks three peers for moves after its start, and one peer when a member is replaced without a planned stop that it saw. Moves travel as `left` records in the present messages, with the present holder as successor, so the receiver needs no earlier stops. A node that is sent a ticket it does not hold names the holder.

Ruled out: sending such tickets to the new run in all cases (it would turn the proven `not-run` of a killed executor into `may-have-run`), and a new field for the successor's run in member records (changes the wire format). The age of a move is not in the record either.

--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -353,12 +353,7 @@
             Requester aRequester,
             const CallRequest& aCall)
 {
-  const TicketDecision decision = Apply(aState.tickets_,
-                                        PresentTicket(std::move(aState.tickets_),
-                                                      *aCall.request_.ticket_,
-                                                      RequestDigest(aCall.request_),
-                                                      aId,
-                                                      aContext.now_));
+  const TicketDecision decision = PresentToTable(aState, aCall.request_, aId, aContext.now_);
   switch (decision.action_) {
     case TicketAction::kRun:
       Enqueue(aState, aContext, aId, aRequester, aCall);
--- a/packages/policy/MemberDigest.cpp
+++ b/packages/policy/MemberDigest.cpp
@@ -1,6 +1,7 @@
 #include "policy/MemberDigest.h"
 
 #include "policy/GossipQueue.h"
+#include "policy/MovedIncarnations.h"
 
 #include <algorithm>
 #include <set>
@@ -332,7 +333,11 @@
   std::vector<MemberRecord> records;
   for (const NodeId id : aBody.nodes_) {
     const auto member = state.members_.find(id);
-    if (id == state.self_.identity_.id_) {
+    if (id == aMessage.sender_) {
+      // A node that may have missed planned stops asks for its own id.
+      const std::vector<MemberRecord> moves = MovesToOffer(state, aTurn.now_);
+      records.insert(records.end(), moves.begin(), moves.end());
+    } else if (id == state.self_.identity_.id_) {
       records.push_back(state.self_);
     } else if (member != state.members_.end()) {
       records.push_back(CurrentRecord(state, member->second, aTurn.now_));
--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -1,6 +1,7 @@
 #include "policy/MemberTable.h"
 
 #include "policy/GossipQueue.h"
+#include "policy/MovedIncarnations.h"
 
 #include <algorithm>
 #include <tuple>
@@ -169,6 +170,7 @@
 {
   MembershipState& state = aTurn.state_;
   const NodeId id = aRecord.identity_.id_;
+  NoteMove(state, aRecord, aTurn.now_);
   if (id == state.self_.identity_.id_) {
     AnswerOwnRecord(aTurn, aRecord);
     return false;
@@ -186,9 +188,16 @@
   const bool isNew = known == state.members_.end();
   const bool sameRun =
     !isNew && entry.record_.identity_.incarnation_ == aRecord.identity_.incarnation_;
+  if (!isNew && !sameRun && entry.record_.state_ != MemberState::kLeft) {
+    // The earlier run was lost, or this node missed its planned stop.
+    state.moveRequests_ = std::max(state.moveRequests_, 1U);
+  }
   entry.record_ = aRecord;
   entry.changedAt_ = aTurn.now_;
   entry.epochAt_ = aTurn.now_;
+  if (isNew) {
+    NoteSuccessorRun(state, aRecord.identity_);
+  }
   ApplyState(aTurn, entry, sameRun);
   if (aRecord.identity_.domain_ != state.self_.identity_.domain_) {
     state.domains_.try_emplace(aRecord.identity_.domain_, DomainReach{ aTurn.now_ });
@@ -258,6 +267,7 @@
 AdvanceTable(MembershipTurn& aTurn)
 {
   MembershipState& state = aTurn.state_;
+  DropOldMoves(state, aTurn.now_);
   for (auto next = state.members_.begin(); next != state.members_.end();) {
     MemberEntry& entry = next->second;
     if (entry.suspectedAt_ &&
@@ -310,6 +320,10 @@
   MemberRecord record = aEntry.record_;
   record.ticketEpoch_ +=
     static_cast<std::uint32_t>((aNow - aEntry.epochAt_) / aState.settings_.epochLength_);
+  if (record.state_ == MemberState::kLeft) {
+    // The receiver may not know the stops and restarts of the first successor.
+    record.successor_ = FindHolder(aState, record.identity_.id_, record.identity_.incarnation_);
+  }
   return record;
 }
 
--- a/packages/policy/MemberTable.h
+++ b/packages/policy/MemberTable.h
@@ -57,7 +57,8 @@
 bool
 MayRun(MemberState aState);
 
-/** The record with its ticket epoch brought up to date, as it is passed on. */
+/** The record with its ticket epoch and the holder of its tickets brought up to date, as it is
+ * passed on. */
 MemberRecord
 CurrentRecord(const MembershipState& aState, const MemberEntry& aEntry, Instant aNow);
 
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -79,6 +79,18 @@
   SendMessage(aTurn, aMessage.senderAddress_, std::move(request));
 }
 
+/** A request for the asking node's own record asks for moves, see HandleRecordsRequest(). */
+void
+AskForMoves(MembershipTurn& aTurn, const std::string& aAddress)
+{
+  MembershipState& state = aTurn.state_;
+  if (state.moveRequests_ > 0) {
+    --state.moveRequests_;
+    SendMessage(
+      aTurn, aAddress, MakeMessage(state, RecordsRequest{ { state.self_.identity_.id_ } }));
+  }
+}
+
 void
 DigestToOtherDomains(MembershipTurn& aTurn)
 {
@@ -96,7 +108,9 @@
     }
     if (!targets.empty()) {
       const NodeId target = targets[NextRandom(state) % targets.size()];
-      SendDigest(aTurn, state.members_.at(target).record_.identity_.peerAddress_);
+      const std::string& address = state.members_.at(target).record_.identity_.peerAddress_;
+      SendDigest(aTurn, address);
+      AskForMoves(aTurn, address);
     }
   }
 }
@@ -117,6 +131,7 @@
   }
   for (const MemberEntry* peer : Sample(state, std::move(peers), 1)) {
     SendDigest(aTurn, peer->record_.identity_.peerAddress_);
+    AskForMoves(aTurn, peer->record_.identity_.peerAddress_);
   }
 }
 
@@ -335,20 +350,11 @@
 NodeId
 ResolveSuccessor(const MembershipState& aState, NodeId aNode)
 {
-  std::set<NodeId> visited;
-  NodeId node = aNode;
-  while (visited.insert(node).second) {
-    const MemberRecord* record =
-      node == aState.self_.identity_.id_ ? &aState.self_ : FindMember(aState, node);
-    if (record == nullptr) {
-      return NodeId{};
-    }
-    if (record->state_ != MemberState::kLeft) {
-      return node;
-    }
-    node = record->successor_;
+  if (aNode == aState.self_.identity_.id_) {
+    return FindHolder(aState, aNode, aState.self_.identity_.incarnation_);
   }
-  return NodeId{};
+  const MemberRecord* record = FindMember(aState, aNode);
+  return record == nullptr ? NodeId{} : FindHolder(aState, aNode, record->identity_.incarnation_);
 }
 
 bool
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -125,6 +125,21 @@
   bool operator==(const MemberHint&) const = default;
 };
 
+/** A run that ended with a planned stop. */
+struct MovedIncarnation
+{
+  MemberRecord left_;
+  /** The successor's run that took the tickets; zero while the successor is unknown. */
+  Incarnation successorIncarnation_;
+  Instant learnedAt_;
+
+  bool operator==(const MovedIncarnation&) const = default;
+};
+
+/** Peers that a node asks for moves after its start. More than one, since a peer may have just
+ * started too. */
+inline constexpr std::uint32_t kMoveRequests = 3;
+
 /** Bytes that may be sent now, and when they were counted. */
 struct ByteAllowance
 {
@@ -147,6 +162,10 @@
   std::map<NodeId, std::uint32_t> updates_;
   std::map<std::uint64_t, PendingProbe> probes_;
   std::map<NodeId, MemberHint> hints_;
+  /** By the run that ended, see MovedIncarnations.h. */
+  std::map<Incarnation, MovedIncarnation> moved_;
+  /** Requests for moves that are still to be sent. */
+  std::uint32_t moveRequests_ = kMoveRequests;
   /** Members of the own domain that are still to be told which domains cannot be reached. */
   std::vector<NodeId> reachNotices_;
   /** Members of the own domain in random order, those to be probed next at the end. */
@@ -229,6 +248,11 @@
 NodeId
 ResolveSuccessor(const MembershipState& aState, NodeId aNode);
 
+/** The same from one run of a node, which may have been replaced by a later run at the same
+ * address. */
+NodeId
+FindHolder(const MembershipState& aState, NodeId aNode, Incarnation aIncarnation);
+
 /** Whether this node is one of the delegates of its failure domain. */
 bool
 IsDelegate(const MembershipState& aState);
--- /dev/null
+++ b/packages/policy/MovedIncarnations.cpp
@@ -0,0 +1,140 @@
+#include "policy/MovedIncarnations.h"
+
+#include <algorithm>
+#include <set>
+
+namespace fulmarway {
+
+namespace {
+
+/** The known run of the node; zero when the node is unknown. */
+Incarnation
+IncarnationOf(const MembershipState& aState, NodeId aNode)
+{
+  if (aNode == aState.self_.identity_.id_) {
+    return aState.self_.identity_.incarnation_;
+  }
+  const auto member = aState.members_.find(aNode);
+  return member == aState.members_.end() ? Incarnation{}
+                                         : member->second.record_.identity_.incarnation_;
+}
+
+void
+MakeRoomForMove(MembershipState& aState)
+{
+  if (aState.moved_.size() < kMaxMovedIncarnations) {
+    return;
+  }
+  aState.moved_.erase(std::min_element(
+    aState.moved_.begin(), aState.moved_.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.learnedAt_ < aRight.second.learnedAt_;
+    }));
+}
+
+/** Whether the node was replaced so long ago that all tickets of the earlier run have expired. The
+ * time of the move is not in the record; the generation of the later run is a wall clock time after
+ * it. Without this bound, nodes that join one after the other would pass a move on forever. */
+bool
+IsReplacedLongAgo(const MembershipState& aState, const NodeIdentity& aLater, Instant aNow)
+{
+  const auto upTime =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aState.startedAt_).count();
+  const auto keepTime =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aState.settings_.forgetAfter_).count();
+  const std::uint64_t wallTimeMs =
+    aState.self_.identity_.generation_ + static_cast<std::uint64_t>(upTime);
+  return wallTimeMs > aLater.generation_ + static_cast<std::uint64_t>(keepTime);
+}
+
+} // namespace
+
+void
+NoteMove(MembershipState& aState, const MemberRecord& aLeft, Instant aNow)
+{
+  const NodeIdentity& run = aLeft.identity_;
+  if (aLeft.state_ != MemberState::kLeft || aLeft.successor_ == NodeId{} ||
+      run.incarnation_ == aState.self_.identity_.incarnation_) {
+    return;
+  }
+  const auto known = aState.moved_.find(run.incarnation_);
+  if (known != aState.moved_.end()) {
+    if (known->second.left_.successor_ == aLeft.successor_ ||
+        FindHolder(aState, run.id_, run.incarnation_) != NodeId{}) {
+      return;
+    }
+  } else {
+    MakeRoomForMove(aState);
+  }
+  aState.moved_[run.incarnation_] = { aLeft, IncarnationOf(aState, aLeft.successor_), aNow };
+}
+
+void
+NoteSuccessorRun(MembershipState& aState, const NodeIdentity& aSuccessor)
+{
+  for (auto& [incarnation, move] : aState.moved_) {
+    if (move.left_.successor_ == aSuccessor.id_ && move.successorIncarnation_ == Incarnation{}) {
+      move.successorIncarnation_ = aSuccessor.incarnation_;
+    }
+  }
+}
+
+void
+DropOldMoves(MembershipState& aState, Instant aNow)
+{
+  std::erase_if(aState.moved_, [&](const auto& aMove) {
+    return aNow - aMove.second.learnedAt_ >= aState.settings_.forgetAfter_;
+  });
+}
+
+std::vector<MemberRecord>
+MovesToOffer(const MembershipState& aState, Instant aNow)
+{
+  std::vector<MemberRecord> records;
+  for (const auto& [incarnation, move] : aState.moved_) {
+    const auto member = aState.members_.find(move.left_.identity_.id_);
+    const NodeIdentity* later =
+      member == aState.members_.end() ? &aState.self_.identity_ : &member->second.record_.identity_;
+    const bool isReplaced =
+      later->id_ == move.left_.identity_.id_ && later->incarnation_ != incarnation;
+    const NodeId holder = FindHolder(aState, move.left_.identity_.id_, incarnation);
+    if (isReplaced && holder != NodeId{} && !IsReplacedLongAgo(aState, *later, aNow)) {
+      records.push_back(move.left_);
+      records.back().successor_ = holder;
+    }
+  }
+  return records;
+}
+
+NodeId
+FindHolder(const MembershipState& aState, NodeId aNode, Incarnation aIncarnation)
+{
+  const NodeIdentity& self = aState.self_.identity_;
+  std::set<Incarnation> visited;
+  NodeId node = aNode;
+  Incarnation run = aIncarnation;
+  while (visited.insert(run).second) {
+    const bool isSelf = run == self.incarnation_;
+    const auto member = aState.members_.find(node);
+    const bool isCurrent = isSelf || (member != aState.members_.end() &&
+                                      member->second.record_.identity_.incarnation_ == run);
+    const MemberState state =
+      isSelf || !isCurrent ? aState.self_.state_ : member->second.record_.state_;
+    if (isCurrent && state != MemberState::kLeft) {
+      return node;
+    }
+    const auto move = aState.moved_.find(run);
+    if (isSelf) {
+      node = aState.self_.successor_;
+      run = Incarnation{};
+    } else if (move != aState.moved_.end()) {
+      node = move->second.left_.successor_;
+      run = move->second.successorIncarnation_;
+    } else {
+      return NodeId{};
+    }
+    run = run == Incarnation{} ? IncarnationOf(aState, node) : run;
+  }
+  return NodeId{};
+}
+
+} // namespace fulmarway
--- a/packages/policy/RouteCandidates.cpp
+++ b/packages/policy/RouteCandidates.cpp
@@ -84,23 +84,41 @@
 FindExecutor(const NodeState& aState, const Ticket& aTicket)
 {
   const NodeIdentity& self = aState.settings_.identity_;
-  if (aTicket.executor_ == self.id_) {
-    // The own table knows whether the incarnation is the current one.
+  if (HoldsTickets(aState.tickets_, ExecutorOf(aTicket))) {
     return { ExecutorStatus::kReachable, self.id_ };
   }
   const MemberRecord* member = FindMember(aState.membership_, aTicket.executor_);
-  if (member == nullptr || member->identity_.incarnation_ != aTicket.incarnation_) {
-    return {};
+  if (member != nullptr && member->identity_.incarnation_ == aTicket.incarnation_ &&
+      member->state_ != MemberState::kLeft) {
+    return member->state_ == MemberState::kDead
+             ? ExecutorLookup{}
+             : ExecutorLookup{ ExecutorStatus::kReachable, aTicket.executor_ };
   }
-  if (member->state_ == MemberState::kLeft) {
-    const NodeId successor = ResolveSuccessor(aState.membership_, aTicket.executor_);
-    return successor == NodeId{} ? ExecutorLookup{}
-                                 : ExecutorLookup{ ExecutorStatus::kMoved, successor };
+  const NodeId holder = FindHolder(aState.membership_, aTicket.executor_, aTicket.incarnation_);
+  if (holder != NodeId{}) {
+    return { ExecutorStatus::kMoved, holder };
   }
-  if (member->state_ == MemberState::kDead) {
-    return {};
+  // A ticket of an earlier run of this node is refused by the own table.
+  return aTicket.executor_ == self.id_ ? ExecutorLookup{ ExecutorStatus::kReachable, self.id_ }
+                                       : ExecutorLookup{};
+}
+
+TicketDecision
+PresentToTable(NodeState& aState, const Request& aRequest, RequestId aId, Instant aNow)
+{
+  const Ticket& ticket = *aRequest.ticket_;
+  TicketDecision decision =
+    Apply(aState.tickets_,
+          PresentTicket(std::move(aState.tickets_), ticket, RequestDigest(aRequest), aId, aNow));
+  if (decision.action_ == TicketAction::kRefuse &&
+      decision.refusal_.reason_ == Reason::kTicketOfLostExecutor) {
+    const NodeId holder = FindHolder(aState.membership_, ticket.executor_, ticket.incarnation_);
+    if (holder != NodeId{} && holder != aState.settings_.identity_.id_) {
+      decision.refusal_.reason_ = Reason::kTicketMoved;
+      decision.successor_ = holder;
+    }
   }
-  return { ExecutorStatus::kReachable, aTicket.executor_ };
+  return decision;
 }
 
 std::string
--- a/packages/policy/RouteCandidates.h
+++ b/packages/policy/RouteCandidates.h
@@ -43,6 +43,11 @@
 ExecutorLookup
 FindExecutor(const NodeState& aState, const Ticket& aTicket);
 
+/** Presents the ticket of a request to the own table. A ticket that the table does not hold is
+ * refused with the node that holds it, since the sender may not know of the planned stop yet. */
+TicketDecision
+PresentToTable(NodeState& aState, const Request& aRequest, RequestId aId, Instant aNow);
+
 /** Address of a node for calls; empty when unknown. */
 std::string
 PeerAddressOf(const NodeState& aState, NodeId aNode);
--- a/packages/policy/TicketTable.cpp
+++ b/packages/policy/TicketTable.cpp
@@ -425,6 +425,12 @@
   return { std::move(aTable), ends };
 }
 
+bool
+HoldsTickets(const TicketTable& aTable, const ExecutorKey& aExecutor)
+{
+  return aTable.executors_.contains(aExecutor);
+}
+
 NodeId
 SuccessorOf(const TicketTable& aTable)
 {
--- a/packages/policy/TicketTable.h
+++ b/packages/policy/TicketTable.h
@@ -193,6 +193,10 @@
 Step<TicketTable, bool>
 ConfirmHandover(TicketTable aTable, const HandoverAccepted& aAccepted);
 
+/** Whether the table has the tickets of this run, its own or handed over. */
+bool
+HoldsTickets(const TicketTable& aTable, const ExecutorKey& aExecutor);
+
 /** The named successor; zero before BeginHandover(). */
 NodeId
 SuccessorOf(const TicketTable& aTable);
--- /dev/null
+++ b/packages/policy/tests/MovedIncarnationsTest.cpp
@@ -0,0 +1,118 @@
+/** \file
+ * Guards against a table of moved incarnations that grows without bound, keeps entries longer than
+ * a ticket lives, or names a holder that doesn't have the tickets.
+ */
+#include "policy/MovedIncarnations.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+
+namespace {
+
+constexpr Instant kStart{ std::chrono::hours(1) };
+constexpr std::uint64_t kStartMs = 3'600'000;
+
+MemberRecord
+RecordOf(std::uint64_t aNode,
+         std::uint64_t aRun,
+         MemberState aState,
+         std::uint64_t aSuccessor = 0,
+         std::uint64_t aGeneration = kStartMs)
+{
+  MemberRecord record;
+  record.identity_.id_ = NodeId{ aNode };
+  record.identity_.incarnation_ = Incarnation{ aNode, aRun };
+  record.identity_.generation_ = aGeneration + aRun;
+  record.state_ = aState;
+  record.successor_ = NodeId{ aSuccessor };
+  return record;
+}
+
+MembershipState
+StateOfNode(std::uint64_t aNode)
+{
+  return MakeMembership({}, RecordOf(aNode, 1, MemberState::kAlive).identity_, {}, kStart);
+}
+
+void
+Learn(MembershipState& aState, const MemberRecord& aRecord, Instant aNow = kStart)
+{
+  GossipMessage message;
+  message.sender_ = NodeId{ 99 };
+  message.body_ = ProbeAck{};
+  message.updates_ = { aRecord };
+  aState = HandleGossip(std::move(aState), message, 0, aNow).state_;
+}
+
+/** Node 1 was stopped with successor 2 and runs again. */
+MembershipState
+StateAfterRestart()
+{
+  MembershipState state = StateOfNode(9);
+  Learn(state, RecordOf(2, 1, MemberState::kAlive));
+  Learn(state, RecordOf(1, 1, MemberState::kAlive));
+  Learn(state, RecordOf(1, 1, MemberState::kLeft, 2));
+  Learn(state, RecordOf(1, 2, MemberState::kAlive));
+  return state;
+}
+
+} // namespace
+
+Test(moved_incarnations, follows_the_run_that_took_the_tickets)
+{
+  MembershipState state = StateAfterRestart();
+  cr_assert(FindHolder(state, NodeId{ 1 }, { 1, 1 }) == NodeId{ 2 });
+  Learn(state, RecordOf(2, 1, MemberState::kLeft, 1));
+  Learn(state, RecordOf(2, 2, MemberState::kAlive));
+  cr_assert(FindHolder(state, NodeId{ 1 }, { 1, 1 }) == NodeId{ 1 });
+}
+
+Test(moved_incarnations, successor_lost_without_a_planned_stop)
+{
+  MembershipState state = StateAfterRestart();
+  Learn(state, RecordOf(2, 2, MemberState::kAlive));
+  cr_assert(FindHolder(state, NodeId{ 1 }, { 1, 1 }) == NodeId{});
+}
+
+Test(moved_incarnations, oldest_is_dropped_at_the_bound)
+{
+  MembershipState state = StateOfNode(9);
+  for (std::uint64_t run = 1; run <= kMaxMovedIncarnations + 1; ++run) {
+    NoteMove(
+      state, RecordOf(1, run, MemberState::kLeft, 2), kStart + std::chrono::milliseconds(run));
+  }
+  cr_assert_eq(state.moved_.size(), kMaxMovedIncarnations);
+  cr_assert(!state.moved_.contains({ 1, 1 }));
+  cr_assert(state.moved_.contains({ 1, kMaxMovedIncarnations + 1 }));
+}
+
+Test(moved_incarnations, dropped_when_all_tickets_have_expired)
+{
+  MembershipState state = StateAfterRestart();
+  const Instant expiry = kStart + state.settings_.forgetAfter_;
+  state = AdvanceMembership(std::move(state), 0, expiry - std::chrono::seconds(1)).state_;
+  cr_assert(state.moved_.contains({ 1, 1 }));
+  state = AdvanceMembership(std::move(state), 0, expiry).state_;
+  cr_assert(!state.moved_.contains({ 1, 1 }));
+}
+
+Test(moved_incarnations, offered_with_the_present_holder)
+{
+  MembershipState state = StateAfterRestart();
+  Learn(state, RecordOf(3, 1, MemberState::kAlive));
+  Learn(state, RecordOf(2, 1, MemberState::kLeft, 3));
+  Learn(state, RecordOf(2, 2, MemberState::kAlive));
+  for (const MemberRecord& offered : MovesToOffer(state, kStart)) {
+    cr_assert(offered.successor_ == NodeId{ 3 });
+  }
+  cr_assert_eq(MovesToOffer(state, kStart).size(), 2U);
+}
+
+Test(moved_incarnations, not_offered_when_replaced_long_ago)
+{
+  MembershipState state = StateAfterRestart();
+  const Duration keepTime = state.settings_.forgetAfter_;
+  cr_assert_eq(MovesToOffer(state, kStart + keepTime - std::chrono::seconds(1)).size(), 1U);
+  cr_assert(MovesToOffer(state, kStart + keepTime + std::chrono::seconds(1)).empty());
+}
