--- a/packages/policy/tests/Session.cpp
+++ b/packages/policy/tests/Session.cpp
@@ -1,7 +1,5 @@
 #include "Session.h"
 
-#include "policy/LinkHealth.h"
-
 #include <criterion/criterion.h>
 #include <cstdio>
 #include <cstdlib>
@@ -10,80 +8,12 @@
 
 namespace fulmarway::session {
 
-namespace {
-
-constexpr Duration kNetworkDelay = std::chrono::microseconds(500);
-constexpr Duration kLogDelay = std::chrono::milliseconds(2);
-constexpr Duration kLogTimeout = std::chrono::seconds(2);
-/** A ping after 250 ms of silence and 500 ms without an answer to it. */
-constexpr Duration kSilenceTimeout = kLinkPingAfter + kLinkPingTimeout;
-const ClusterKey kKey{ "key of the session tests" };
-
-} // namespace
-
 Session::Session(std::uint64_t aSeed)
   : nextTick_(now_)
   , random_{ aSeed }
 {
 }
 
-std::string
-Session::AddressOf(NodeIndex aNode)
-{
-  return "10.0.0." + std::to_string(aNode + 1) + ":7000";
-}
-
-std::optional<NodeIndex>
-Session::FindByAddress(const std::string& aAddress) const
-{
-  for (NodeIndex node = 0; node < nodes_.size(); ++node) {
-    if (AddressOf(node) == aAddress) {
-      return node;
-    }
-  }
-  return std::nullopt;
-}
-
-NodeSettings
-Session::MakeSettings(NodeIndex aNode)
-{
-  const FakeNode& node = nodes_[aNode];
-  NodeSettings settings;
-  settings.identity_.peerAddress_ = AddressOf(aNode);
-  settings.identity_.id_ = NodeIdOf(settings.identity_.peerAddress_);
-  settings.identity_.generation_ = 1000 + node.runs_;
-  settings.identity_.incarnation_ = random_.Next128();
-  settings.identity_.service_ = node.options_.service_;
-  settings.identity_.domain_ = node.options_.domain_;
-  settings.identity_.region_ = node.options_.region_;
-  settings.clusterKey_ = kKey;
-  if (aNode != 0) {
-    settings.seeds_ = { AddressOf(0) };
-  }
-  return settings;
-}
-
-void
-Session::Start(NodeIndex aNode)
-{
-  FakeNode& node = nodes_[aNode];
-  ++node.runs_;
-  node.alive_ = true;
-  node.exited_ = false;
-  node.paused_ = false;
-  node.state_ = MakeNodeState(MakeSettings(aNode), now_);
-  Schedule(std::chrono::milliseconds(1), aNode, BackendHealthChanged{ true });
-}
-
-NodeIndex
-Session::AddNode(const NodeOptions& aOptions)
-{
-  nodes_.push_back({});
-  nodes_.back().options_ = aOptions;
-  Start(nodes_.size() - 1);
-  return nodes_.size() - 1;
-}
-
 void
 Session::Schedule(Duration aDelay, NodeIndex aNode, EventBody aBody)
 {
@@ -199,87 +129,6 @@
   return *reply->ticket_;
 }
 
-void
-Session::Cut(const std::string& aDomain, bool aIsCut)
-{
-  Note("domain " + aDomain + (aIsCut ? " is cut off" : " is connected again"));
-  if (aIsCut) {
-    cutDomains_.insert(aDomain);
-  } else {
-    cutDomains_.erase(aDomain);
-  }
-}
-
-void
-Session::Pause(NodeIndex aNode, bool aIsPaused)
-{
-  Note("n" + std::to_string(aNode) + (aIsPaused ? " is paused" : " resumes"));
-  nodes_[aNode].paused_ = aIsPaused;
-  if (!aIsPaused) {
-    for (EventBody& held : std::exchange(nodes_[aNode].held_, {})) {
-      Deliver(aNode, std::move(held));
-    }
-  }
-}
-
-void
-Session::Kill(NodeIndex aNode)
-{
-  Note("n" + std::to_string(aNode) + " is lost");
-  FakeNode& node = nodes_[aNode];
-  node.alive_ = false;
-  ++node.runs_;
-  node.working_.clear();
-  node.held_.clear();
-  std::vector<LinkId> lost;
-  for (const auto& [id, link] : links_) {
-    if (link.to_ == aNode || link.from_ == aNode) {
-      lost.push_back(id);
-    }
-  }
-  for (const LinkId id : lost) {
-    LoseLink(id, true);
-  }
-}
-
-void
-Session::Restart(NodeIndex aNode)
-{
-  Note("n" + std::to_string(aNode) + " starts again");
-  Start(aNode);
-}
-
-void
-Session::Stop(NodeIndex aNode)
-{
-  Note("n" + std::to_string(aNode) + " is told to stop");
-  Schedule(Duration(0), aNode, StopRequested{});
-}
-
-void
-Session::SilenceConnectionsTo(NodeIndex aNode)
-{
-  Note("connections to n" + std::to_string(aNode) + " go silent");
-  for (auto& [id, link] : links_) {
-    link.silent_ = link.silent_ || link.to_ == aNode;
-  }
-}
-
-void
-Session::BreakBackend(NodeIndex aNode)
-{
-  Note("backend connections of n" + std::to_string(aNode) + " break");
-  for (const auto& [id, request] : std::exchange(nodes_[aNode].working_, {})) {
-    Schedule(Duration(0), aNode, BackendFailed{ id, true });
-  }
-}
-
-void
-Session::SetServiceTime(NodeIndex aNode, Duration aTime)
-{
-  nodes_[aNode].serviceTime_ = aTime;
-}
-
 std::optional<CallerReply>
 Session::ReplyTo(ExchangeId aExchange) const
 {
@@ -287,13 +136,6 @@
   return found == replies_.end() ? std::nullopt : std::optional(found->second.reply_);
 }
 
-int
-Session::Executions(const std::string& aClick, const std::string& aKind) const
-{
-  const auto found = executions_.find({ aClick, aKind });
-  return found == executions_.end() ? 0 : found->second;
-}
-
 void
 Session::Note(const std::string& aLine)
 {
@@ -304,108 +146,6 @@
   transcript_ += time + aLine + '\n';
 }
 
-bool
-Session::CanReach(NodeIndex aFrom, NodeIndex aTo) const
-{
-  const std::string& from = nodes_[aFrom].options_.domain_;
-  const std::string& to = nodes_[aTo].options_.domain_;
-  return from == to || (!cutDomains_.contains(from) && !cutDomains_.contains(to));
-}
-
-void
-Session::LoseLink(LinkId aId, bool aWritten)
-{
-  const Link link = links_.at(aId);
-  links_.erase(aId);
-  PeerLost lost{ NodeIdOf(AddressOf(link.to_)), {}, {} };
-  (aWritten ? lost.written_ : lost.unwritten_).assign(link.open_.begin(), link.open_.end());
-  if (!link.open_.empty()) {
-    Schedule(Duration(0), link.from_, lost);
-  }
-  Schedule(kNetworkDelay, link.to_, LinkClosed{ aId });
-}
-
-/** Gives up connections that have carried nothing for too long. */
-void
-Session::CheckLinks()
-{
-  std::vector<LinkId> stalled;
-  for (auto& [id, link] : links_) {
-    const bool isBlocked = link.silent_ || !CanReach(link.from_, link.to_) ||
-                           nodes_[link.to_].paused_ || !nodes_[link.to_].alive_;
-    if (!isBlocked || link.open_.empty()) {
-      link.stalledSince_.reset();
-      continue;
-    }
-    link.stalledSince_ = link.stalledSince_.value_or(now_);
-    if (now_ >= *link.stalledSince_ + kSilenceTimeout) {
-      stalled.push_back(id);
-    }
-  }
-  for (const LinkId id : stalled) {
-    LoseLink(id, true);
-  }
-}
-
-void
-Session::Run(NodeIndex aNode, const SendToPeer& aEffect)
-{
-  const auto to = FindByAddress(aEffect.address_);
-  const auto* call = std::get_if<CallRequest>(&aEffect.message_);
-  const auto found = std::find_if(links_.begin(), links_.end(), [&](const auto& aEntry) {
-    return to && aEntry.second.from_ == aNode && aEntry.second.to_ == *to;
-  });
-  LinkId id = found == links_.end() ? LinkId{ nextLink_ } : found->first;
-  if (found == links_.end()) {
-    if (!to || !nodes_[*to].alive_ || !CanReach(aNode, *to)) {
-      if (call != nullptr) {
-        Schedule(kNetworkDelay, aNode, PeerLost{ aEffect.peer_, { call->attempt_ }, {} });
-      }
-      return;
-    }
-    ++nextLink_;
-    links_.emplace(id, Link{ aNode, *to, false, {}, {} });
-  }
-  Link& link = links_.at(id);
-  if (call != nullptr) {
-    link.open_.insert(call->attempt_);
-  } else if (const auto* cancelled = std::get_if<CallCancelled>(&aEffect.message_)) {
-    link.open_.erase(cancelled->attempt_);
-  }
-  if (!link.silent_ && CanReach(aNode, *to)) {
-    Schedule(
-      kNetworkDelay,
-      *to,
-      LinkMessageArrived{ id, nodes_[aNode].state_.settings_.identity_.id_, aEffect.message_ });
-  }
-}
-
-void
-Session::Run(NodeIndex aNode, const SendToLink& aEffect)
-{
-  const auto found = links_.find(aEffect.link_);
-  if (found == links_.end() || found->second.silent_ || !CanReach(aNode, found->second.from_)) {
-    return;
-  }
-  if (const auto* answer = std::get_if<CallAnswer>(&aEffect.message_)) {
-    found->second.open_.erase(answer->attempt_);
-  } else if (const auto* refused = std::get_if<CallRefused>(&aEffect.message_)) {
-    found->second.open_.erase(refused->attempt_);
-  }
-  Schedule(kNetworkDelay,
-           found->second.from_,
-           PeerMessageArrived{ nodes_[aNode].state_.settings_.identity_.id_, aEffect.message_ });
-}
-
-void
-Session::Run(NodeIndex aNode, const SendGossip& aEffect)
-{
-  const auto to = FindByAddress(aEffect.address_);
-  if (to && nodes_[*to].alive_ && !nodes_[*to].paused_ && CanReach(aNode, *to)) {
-    Schedule(kNetworkDelay, *to, GossipArrived{ aEffect.message_ });
-  }
-}
-
 void
 Session::Run(NodeIndex aNode, const ReplyToCaller& aEffect)
 {
@@ -425,61 +165,6 @@
   replies_.emplace(aEffect.exchange_, CallerOutcome{ reply, now_ });
 }
 
-void
-Session::Run(NodeIndex aNode, const CallBackend& aEffect)
-{
-  FakeNode& node = nodes_[aNode];
-  const Request& request = aEffect.request_.request_;
-  Note("n" + std::to_string(aNode) + " backend server starts " + request.kind_ + " click " +
-       request.clickId_);
-  ++executions_[{ request.clickId_, request.kind_ }];
-  node.lastStart_ = now_;
-  node.working_.emplace(aEffect.request_.id_, aEffect.request_);
-  Schedule(
-    node.serviceTime_,
-    aNode,
-    BackendAnswered{ aEffect.request_.id_, Answer{ 200, "text/plain", request.clickId_ }, false });
-}
-
-void
-Session::Run(NodeIndex aNode, const CancelBackend& aEffect)
-{
-  Note("n" + std::to_string(aNode) + " cancels a request on its backend server");
-  nodes_[aNode].working_.erase(aEffect.request_);
-}
-
-void
-Session::Run(NodeIndex aNode, const ReadLog& aEffect)
-{
-  if (logDown_ || cutDomains_.contains(nodes_[aNode].options_.domain_)) {
-    Schedule(kLogTimeout, aNode, LogReadFailed{});
-    return;
-  }
-  LogRecordsRead read{ 0, log_.size(), 0, {} };
-  for (std::uint64_t offset = aEffect.from_; offset < log_.size(); ++offset) {
-    read.records_.push_back({ offset, log_[offset] });
-    read.next_ = offset + 1;
-  }
-  Schedule(kLogDelay, aNode, std::move(read));
-}
-
-void
-Session::Run(NodeIndex aNode, const AppendLog& aEffect)
-{
-  if (logDown_ || cutDomains_.contains(nodes_[aNode].options_.domain_)) {
-    Schedule(kLogTimeout, aNode, AppendFinished{ aEffect.token_, AppendResult::kRefused });
-    return;
-  }
-  log_.push_back(aEffect.record_);
-  const bool isCommand = std::holds_alternative<CommandRecord>(aEffect.record_);
-  const bool isLost = isCommand && lostAppendAnswers_ > 0;
-  lostAppendAnswers_ -= isLost ? 1 : 0;
-  Schedule(
-    kLogDelay,
-    aNode,
-    AppendFinished{ aEffect.token_, isLost ? AppendResult::kUnknown : AppendResult::kAppended });
-}
-
 void
 Session::Run(NodeIndex aNode, const ReplyToCommand& aEffect)
 {
@@ -510,22 +195,6 @@
   Note(line);
 }
 
-void
-Session::Run(NodeIndex, const StopAccepting&)
-{
-}
-
-void
-Session::Run(NodeIndex aNode, const ExitProcess&)
-{
-  if (!nodes_[aNode].exited_) {
-    Note("n" + std::to_string(aNode) + " exits");
-    nodes_[aNode].exited_ = true;
-    nodes_[aNode].alive_ = false;
-    ++nodes_[aNode].runs_;
-  }
-}
-
 CallerRequest
 MakeCallerRequest(const std::string& aKind, const std::string& aClick)
 {
--- a/packages/policy/tests/Session.h
+++ b/packages/policy/tests/Session.h
@@ -18,6 +18,9 @@
 
 using NodeIndex = std::size_t;
 
+/** One way, between nodes and to callers. */
+inline constexpr Duration kNetworkDelay = std::chrono::microseconds(500);
+
 /** A reply that a caller got, or would have got. */
 struct CallerOutcome
 {
--- /dev/null
+++ b/packages/policy/tests/SessionBackend.cpp
@@ -0,0 +1,50 @@
+#include "Session.h"
+
+namespace fulmarway::session {
+
+void
+Session::BreakBackend(NodeIndex aNode)
+{
+  Note("backend connections of n" + std::to_string(aNode) + " break");
+  for (const auto& [id, request] : std::exchange(nodes_[aNode].working_, {})) {
+    Schedule(Duration(0), aNode, BackendFailed{ id, true });
+  }
+}
+
+void
+Session::SetServiceTime(NodeIndex aNode, Duration aTime)
+{
+  nodes_[aNode].serviceTime_ = aTime;
+}
+
+int
+Session::Executions(const std::string& aClick, const std::string& aKind) const
+{
+  const auto found = executions_.find({ aClick, aKind });
+  return found == executions_.end() ? 0 : found->second;
+}
+
+void
+Session::Run(NodeIndex aNode, const CallBackend& aEffect)
+{
+  FakeNode& node = nodes_[aNode];
+  const Request& request = aEffect.request_.request_;
+  Note("n" + std::to_string(aNode) + " backend server starts " + request.kind_ + " click " +
+       request.clickId_);
+  ++executions_[{ request.clickId_, request.kind_ }];
+  node.lastStart_ = now_;
+  node.working_.emplace(aEffect.request_.id_, aEffect.request_);
+  Schedule(
+    node.serviceTime_,
+    aNode,
+    BackendAnswered{ aEffect.request_.id_, Answer{ 200, "text/plain", request.clickId_ }, false });
+}
+
+void
+Session::Run(NodeIndex aNode, const CancelBackend& aEffect)
+{
+  Note("n" + std::to_string(aNode) + " cancels a request on its backend server");
+  nodes_[aNode].working_.erase(aEffect.request_);
+}
+
+} // namespace fulmarway::session
