Ask three peers for moves after a missed planned stop

Cause: a node that missed a planned stop asked one peer once, over UDP. A lost datagram, or a peer that missed the stop as well, left it without the move. It now asks three peers, as after its own start. No test loses these datagrams.

--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -190,7 +190,7 @@
     !isNew && entry.record_.identity_.incarnation_ == aRecord.identity_.incarnation_;
   if (!isNew && !sameRun && entry.record_.state_ != MemberState::kLeft) {
     // The earlier run was lost, or this node missed its planned stop.
-    state.moveRequests_ = std::max(state.moveRequests_, 1U);
+    state.moveRequests_ = kMoveRequests;
   }
   entry.record_ = aRecord;
   entry.changedAt_ = aTurn.now_;
