--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -18,7 +18,6 @@
 
 using namespace fulmarway;
 
-constexpr int kExitBadSettings = 2;
 constexpr int kExitFailed = 1;
 
 std::atomic<int> gStopSignals{ 0 };
@@ -102,15 +101,8 @@
 main(int aCount, char** aArguments)
 {
   const auto result = ParseSettings({ aArguments + 1, aArguments + aCount }, ReadEnvironment);
-  if (!result) {
-    std::cerr << "fulmarwayd: " << result.error().subject_ << ": " << result.error().message_
-              << '\n';
-    return kExitBadSettings;
+  if (const auto status = ReportSettings(result, std::cout, std::cerr)) {
+    return *status;
   }
-  if (const auto* text = std::get_if<PrintAndExit>(&*result)) {
-    std::cout << text->text_;
-    return 0;
-  }
-  const auto& settings = std::get<ProcessSettings>(*result);
-  return settings.checkOnly_ ? 0 : RunNode(settings);
+  return RunNode(std::get<ProcessSettings>(*result));
 }
--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -2,13 +2,13 @@
 
 #include "model/Address.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/IPAddress.h>
-#include <Poco/NumberParser.h>
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <charconv>
 #include <cxxopts.hpp>
 #include <map>
+#include <ostream>
 
 namespace fulmarway {
 
@@ -103,29 +103,34 @@
   return text;
 }
 
-UserError
-BadSetting(const std::string& aName, const std::string& aValue, const std::string& aAllowed)
+/** The text with control characters replaced, so that an error stays on one line. */
+std::string
+OnOneLine(std::string aText)
 {
-  return { "--" + aName, "value \"" + aValue + "\": expected " + aAllowed };
+  std::replace_if(
+    aText.begin(),
+    aText.end(),
+    [](unsigned char aLetter) { return std::iscntrl(aLetter) != 0; },
+    '?');
+  return aText;
 }
 
 /** Parses "IP:port" with a numeric IP address. */
 std::optional<Poco::Net::SocketAddress>
 ParseAddress(const std::string& aText)
 {
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  Poco::Net::IPAddress host;
-  unsigned port = 0;
-  constexpr unsigned kMaxPort = 65535;
-  if (!Poco::Net::IPAddress::tryParse(aText.substr(0, colon), host) ||
-      !Poco::NumberParser::tryParseUnsigned(aText.substr(colon + 1), port) || port == 0 ||
-      port > kMaxPort) {
-    return std::nullopt;
-  }
-  return Poco::Net::SocketAddress(host, static_cast<Poco::UInt16>(port));
+  // POCO's own number parser takes "8,080" and " 8080", and its address parser takes names.
+  return IsNumericAddress(aText) ? std::optional(Poco::Net::SocketAddress(aText)) : std::nullopt;
+}
+
+/** Parses decimal digits only. */
+std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value);
+  return error == std::errc{} && parsedTo == end ? std::optional(value) : std::nullopt;
 }
 
 std::vector<std::string>
@@ -150,43 +155,60 @@
   });
 }
 
-/** What is allowed for the setting, when the value is not; nullopt for a valid value. */
-std::optional<std::string>
-CheckValue(const SettingSpec& aSpec, const std::string& aValue)
+/** What is allowed for the setting. */
+std::string
+AllowedValues(const SettingSpec& aSpec)
 {
   switch (aSpec.kind_) {
     case SettingKind::kAddress:
-      return ParseAddress(aValue) ? std::nullopt
-                                  : std::optional<std::string>("IP:port with a numeric IP address");
     case SettingKind::kOptionalAddress:
-      return aValue.empty() || ParseAddress(aValue)
-               ? std::nullopt
-               : std::optional<std::string>("IP:port with a numeric IP address");
+      return "IP:port with a numeric IP address";
     case SettingKind::kAddressList:
-      return IsAddressList(aValue)
-               ? std::nullopt
-               : std::optional<std::string>("IP:port,IP:port,... with numeric IP addresses");
+      return "IP:port,IP:port,... with numeric IP addresses";
     case SettingKind::kName:
-      return IsName(aValue) ? std::nullopt
-                            : std::optional<std::string>("1 to 64 characters of a-z, 0-9 and '-'");
+      return "1 to 64 characters of a-z, 0-9 and '-'";
     case SettingKind::kSecret:
-      return aValue.size() >= kMinSecretBytes ? std::nullopt
-                                              : std::optional<std::string>("at least 16 bytes");
+      return "at least 16 bytes";
     case SettingKind::kLogLevel:
-      return aValue == "debug" || aValue == "info" || aValue == "warn" || aValue == "error"
-               ? std::nullopt
-               : std::optional<std::string>("debug, info, warn or error");
+      return "debug, info, warn or error";
     case SettingKind::kNumber:
       break;
   }
-  Poco::UInt64 number = 0;
-  if (Poco::NumberParser::tryParseUnsigned64(aValue, number) && number >= aSpec.low_ &&
-      number <= aSpec.high_) {
-    return std::nullopt;
-  }
   return "a number from " + std::to_string(aSpec.low_) + " to " + std::to_string(aSpec.high_);
 }
 
+bool
+IsAllowed(const SettingSpec& aSpec, const std::string& aValue)
+{
+  switch (aSpec.kind_) {
+    case SettingKind::kAddress:
+      return IsNumericAddress(aValue);
+    case SettingKind::kOptionalAddress:
+      return aValue.empty() || IsNumericAddress(aValue);
+    case SettingKind::kAddressList:
+      return IsAddressList(aValue);
+    case SettingKind::kName:
+      return IsName(aValue);
+    case SettingKind::kSecret:
+      return aValue.size() >= kMinSecretBytes;
+    case SettingKind::kLogLevel:
+      return aValue == "debug" || aValue == "info" || aValue == "warn" || aValue == "error";
+    case SettingKind::kNumber:
+      break;
+  }
+  const auto number = ParseNumber(aValue);
+  return number && *number >= aSpec.low_ && *number <= aSpec.high_;
+}
+
+UserError
+BadSetting(const SettingSpec& aSpec, const std::string& aValue)
+{
+  const bool isSecret = aSpec.kind_ == SettingKind::kSecret;
+  return { std::string("--") + aSpec.name_,
+           "value \"" + (isSecret ? "(hidden)" : OnOneLine(aValue)) + "\": expected " +
+             AllowedValues(aSpec) };
+}
+
 using Values = std::map<std::string, std::string>;
 
 tl::expected<Values, UserError>
@@ -198,9 +220,8 @@
     if (aFlags.count(spec.name_) > 0) {
       value = aFlags[spec.name_].as<std::string>();
     }
-    if (const auto allowed = CheckValue(spec, value)) {
-      const bool isSecret = spec.kind_ == SettingKind::kSecret;
-      return tl::unexpected(BadSetting(spec.name_, isSecret ? "(hidden)" : value, *allowed));
+    if (!IsAllowed(spec, value)) {
+      return tl::unexpected(BadSetting(spec, value));
     }
     values.emplace(spec.name_, std::move(value));
   }
@@ -210,7 +231,7 @@
 Duration
 Milliseconds(const std::string& aValue)
 {
-  return std::chrono::milliseconds(Poco::NumberParser::parseUnsigned64(aValue));
+  return std::chrono::milliseconds(*ParseNumber(aValue));
 }
 
 ProcessSettings
@@ -222,7 +243,7 @@
   settings.adminListen_ = *ParseAddress(aValues.at("admin-listen"));
   settings.backend_ = *ParseAddress(aValues.at("backend"));
   settings.logService_ = ParseAddress(aValues.at("log-service"));
-  settings.maxConnections_ = Poco::NumberParser::parseUnsigned64(aValues.at("max-connections"));
+  settings.maxConnections_ = *ParseNumber(aValues.at("max-connections"));
   settings.logLevel_ = aValues.at("log-level");
 
   NodeSettings& node = settings.node_;
@@ -236,11 +257,19 @@
   node.seeds_ = SplitList(aValues.at("seeds"));
   node.stopTimeout_ = Milliseconds(aValues.at("stop-timeout-ms"));
   node.logPollInterval_ = Milliseconds(aValues.at("log-poll-ms"));
-  node.logRetention_ =
-    std::chrono::seconds(Poco::NumberParser::parseUnsigned64(aValues.at("log-retention-seconds")));
+  node.logRetention_ = std::chrono::seconds(*ParseNumber(aValues.at("log-retention-seconds")));
   return settings;
 }
 
+/** Whether the argument is "--SETTING", so that the next argument is its value. */
+bool
+IsFlagName(const std::string& aArgument)
+{
+  return std::any_of(kSettings.begin(), kSettings.end(), [&](const SettingSpec& aSpec) {
+    return aArgument == std::string("--") + aSpec.name_;
+  });
+}
+
 cxxopts::Options
 MakeOptions()
 {
@@ -261,6 +290,13 @@
   for (const std::string& argument : aArguments) {
     arguments.push_back(argument.c_str());
   }
+  for (const SettingSpec& spec : kSettings) {
+    // cxxopts reports a flag without a value, but not what is allowed for it.
+    if (arguments.back() == std::string("--") + spec.name_ &&
+        (aArguments.size() < 2 || !IsFlagName(aArguments[aArguments.size() - 2]))) {
+      return tl::unexpected(BadSetting(spec, ""));
+    }
+  }
   try {
     const auto flags = MakeOptions().parse(static_cast<int>(arguments.size()), arguments.data());
     if (flags.count("help") > 0) {
@@ -270,7 +306,8 @@
       return PrintAndExit{ "fulmarwayd " FULMARWAY_VERSION "\n" };
     }
     if (!flags.unmatched().empty()) {
-      return tl::unexpected(UserError{ flags.unmatched().front(), "not a setting; see --help" });
+      return tl::unexpected(
+        UserError{ OnOneLine(flags.unmatched().front()), "not a setting; see --help" });
     }
     const auto values = CollectValues(flags, aEnvironment);
     if (!values) {
@@ -280,8 +317,23 @@
     settings.checkOnly_ = flags.count("check-settings") > 0;
     return settings;
   } catch (const std::exception& error) {
-    return tl::unexpected(UserError{ "command line", error.what() });
+    return tl::unexpected(UserError{ "command line", OnOneLine(error.what()) + "; see --help" });
+  }
+}
+
+std::optional<int>
+ReportSettings(const SettingsResult& aResult, std::ostream& aOutput, std::ostream& aErrors)
+{
+  if (!aResult) {
+    aErrors << "fulmarwayd: " << aResult.error().subject_ << ": " << aResult.error().message_
+            << '\n';
+    return kExitBadSettings;
+  }
+  if (const auto* text = std::get_if<PrintAndExit>(&*aResult)) {
+    aOutput << text->text_;
+    return 0;
   }
+  return std::get<ProcessSettings>(*aResult).checkOnly_ ? std::optional(0) : std::nullopt;
 }
 
 } // namespace fulmarway
--- a/packages/node/Settings.h
+++ b/packages/node/Settings.h
@@ -8,6 +8,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <functional>
+#include <iosfwd>
 #include <optional>
 #include <string>
 #include <tl/expected.hpp>
@@ -46,4 +47,12 @@
 SettingsResult
 ParseSettings(const std::vector<std::string>& aArguments, const Environment& aEnvironment);
 
+/** Exit status for an invalid or missing setting. */
+inline constexpr int kExitBadSettings = 2;
+
+/** Prints an error as one line, or the text that was asked for. Returns the exit status of the
+ * process, or nullopt when the node is to run. */
+std::optional<int>
+ReportSettings(const SettingsResult& aResult, std::ostream& aOutput, std::ostream& aErrors);
+
 } // namespace fulmarway
