--- a/packages/node/AdminApi.cpp
+++ b/packages/node/AdminApi.cpp
@@ -5,15 +5,21 @@
 #include "wire/ControlJson.h"
 
 #include <Poco/Exception.h>
-#include <Poco/NumberParser.h>
 #include <Poco/URI.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace fulmarway {
 
 namespace {
 
 constexpr std::string_view kControlPrefix = "/control/v1/";
-constexpr unsigned kDefaultAuditEntries = 20;
+constexpr std::string_view kCommandPath = "/control/v1/command";
+constexpr std::uint64_t kDefaultAuditEntries = 20;
+constexpr std::array<std::string_view, 9> kDocuments = { "services", "members", "config",
+                                                         "shed",     "load",    "audit",
+                                                         "why",      "command", "inforce" };
 
 AdminReply
 ErrorReply(std::uint16_t aStatus, const std::string& aMessage)
@@ -39,6 +45,16 @@
   return "";
 }
 
+/** Parses decimal digits only. */
+std::optional<std::uint64_t>
+ParseNumber(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value);
+  return error == std::errc{} && parsedTo == end ? std::optional(value) : std::nullopt;
+}
+
 /** Whether the node is ready for callers. */
 AdminReply
 ReadinessReply(const NodeState& aState)
@@ -84,21 +100,31 @@
 HandleGetAudit(const NodeState& aState, const Poco::URI& aUri)
 {
   const std::string last = QueryValue(aUri, "last");
-  unsigned count = kDefaultAuditEntries;
-  if (!last.empty() && !Poco::NumberParser::tryParseUnsigned(last, count)) {
+  const auto count = last.empty() ? kDefaultAuditEntries : ParseNumber(last);
+  if (!count) {
     return ErrorReply(400, "last: expected a number");
   }
-  return DocumentReply(MakeAuditDocument(aState, count));
+  return DocumentReply(MakeAuditDocument(aState, *count));
+}
+
+AdminReply
+HandleGetWhy(const NodeState& aState, const Poco::URI& aUri)
+{
+  const std::string click = QueryValue(aUri, "click");
+  if (click.empty()) {
+    return ErrorReply(400, "click: expected a click id");
+  }
+  return DocumentReply(MakeWhyDocument(aState, click));
 }
 
 AdminResult
 HandleGetInForce(ExchangeId aExchange, const Poco::URI& aUri)
 {
-  Poco::UInt64 version = 0;
-  if (!Poco::NumberParser::tryParseUnsigned64(QueryValue(aUri, "version"), version)) {
+  const auto version = ParseNumber(QueryValue(aUri, "version"));
+  if (!version) {
     return ErrorReply(400, "version: expected a number");
   }
-  return EventBody{ InForceQueried{ aExchange, version } };
+  return EventBody{ InForceQueried{ aExchange, *version } };
 }
 
 AdminResult
@@ -127,15 +153,51 @@
     return HandleGetAudit(aState, aUri);
   }
   if (aName == "why") {
-    return DocumentReply(MakeWhyDocument(aState, QueryValue(aUri, "click")));
+    return HandleGetWhy(aState, aUri);
   }
   if (aName == "command") {
     return HandleGetCommand(aState, aUri);
   }
-  if (aName == "inforce") {
-    return HandleGetInForce(aExchange, aUri);
+  return HandleGetInForce(aExchange, aUri);
+}
+
+/** Whether the path exists, whatever the method. */
+bool
+IsKnownPath(const std::string& aPath)
+{
+  if (aPath == "/metrics" || aPath == "/healthz" || aPath == "/readyz") {
+    return true;
   }
-  return ErrorReply(404, aName + ": not a document");
+  return aPath.compare(0, kControlPrefix.size(), kControlPrefix) == 0 &&
+         std::find(kDocuments.begin(), kDocuments.end(), aPath.substr(kControlPrefix.size())) !=
+           kDocuments.end();
+}
+
+AdminReply
+WrongMethodReply(const std::string& aPath, const std::string& aAllow)
+{
+  AdminReply reply = ErrorReply(405, aPath + ": expected " + aAllow);
+  reply.allow_ = aAllow;
+  return reply;
+}
+
+AdminResult
+HandleGet(const NodeState& aState,
+          const LoopCounters& aLoop,
+          ExchangeId aExchange,
+          const Poco::URI& aUri)
+{
+  const std::string& path = aUri.getPath();
+  if (path == "/metrics") {
+    return AdminReply{ 200, "text/plain; version=0.0.4", RenderMetrics(aState, aLoop) };
+  }
+  if (path == "/healthz") {
+    return AdminReply{ 200, "text/plain", "ok\n" };
+  }
+  if (path == "/readyz") {
+    return ReadinessReply(aState);
+  }
+  return HandleGetDocument(aState, aLoop, aExchange, path.substr(kControlPrefix.size()), aUri);
 }
 
 } // namespace
@@ -149,27 +211,18 @@
   try {
     const Poco::URI uri(aMessage.head_.getURI());
     const std::string& path = uri.getPath();
-    const bool isPost = aMessage.head_.getMethod() == Poco::Net::HTTPRequest::HTTP_POST;
-    if (path == "/metrics") {
-      return AdminReply{ 200, "text/plain; version=0.0.4", RenderMetrics(aState, aLoop) };
-    }
-    if (path == "/healthz") {
-      return AdminReply{ 200, "text/plain", "ok\n" };
-    }
-    if (path == "/readyz") {
-      return ReadinessReply(aState);
-    }
-    if (path.compare(0, kControlPrefix.size(), kControlPrefix) != 0) {
+    const std::string& method = aMessage.head_.getMethod();
+    if (!IsKnownPath(path)) {
       return ErrorReply(404, path + ": not found");
     }
-    const std::string name = path.substr(kControlPrefix.size());
-    if (isPost && name == "command") {
+    const bool takesPost = path == kCommandPath;
+    if (takesPost && method == Poco::Net::HTTPRequest::HTTP_POST) {
       return HandlePostCommand(aExchange, aMessage.body_);
     }
-    if (isPost) {
-      return ErrorReply(405, name + ": expected GET");
+    if (method != Poco::Net::HTTPRequest::HTTP_GET) {
+      return WrongMethodReply(path, takesPost ? "GET, POST" : "GET");
     }
-    return HandleGetDocument(aState, aLoop, aExchange, name, uri);
+    return HandleGet(aState, aLoop, aExchange, uri);
   } catch (const Poco::Exception& error) {
     return ErrorReply(400, error.displayText());
   }
--- a/packages/node/AdminApi.h
+++ b/packages/node/AdminApi.h
@@ -19,6 +19,8 @@
   std::uint16_t status_ = 200;
   std::string contentType_ = "application/json";
   std::string body_;
+  /** For 405, the methods of the path. */
+  std::string allow_ = {};
 
   bool operator==(const AdminReply&) const = default;
 };
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -272,8 +272,11 @@
 Node::SendAdminReply(ExchangeId aExchange, const AdminReply& aReply)
 {
   Poco::Net::HTTPResponse head = MakeResponseHead();
-  head.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aReply.status_));
+  head.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aReply.status_));
   head.setContentType(aReply.contentType_);
+  if (!aReply.allow_.empty()) {
+    head.set("Allow", aReply.allow_);
+  }
   HandleAdminEvents(admin_.Reply(aExchange, head, aReply.body_, now_));
 }
 
