Give each counter its own HELP text, and test the metrics

Cause: all counters of the reducer shared the text "Since the start of the process", which does not tell an operator what is counted. The texts were checked against the places that add to each counter.

With faults put in (one side for all refusals, one value for all counters) refusals_tell_sides_verdicts_and_reasons_apart and every_counter_shows_its_own_value failed.

--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -16,6 +16,53 @@
 
 using Labels = std::vector<ClientMetric::Label>;
 
+/** HELP text of a counter of the reducer. */
+std::string
+HelpOf(CounterId aCounter)
+{
+  switch (aCounter) {
+    case CounterId::kCallsStarted:
+      return "Calls taken from callers and from the own backend server";
+    case CounterId::kCallsAnswered:
+      return "Calls that ended with a whole answer of a backend server";
+    case CounterId::kAttempts:
+      return "Attempts sent to executors, first attempts and hedged ones included";
+    case CounterId::kRetries:
+      return "Attempts after a failed attempt of the same call";
+    case CounterId::kHedges:
+      return "Second attempts sent while the first one was still running";
+    case CounterId::kTicketRepeats:
+      return "Repeats of a request with a ticket to the same executor";
+    case CounterId::kTicketRedirects:
+      return "Requests with a ticket sent on to the successor of their executor";
+    case CounterId::kBackendStarts:
+      return "Requests passed to the own backend server";
+    case CounterId::kBackendAnswers:
+      return "Answers of the own backend server";
+    case CounterId::kBackendFailures:
+      return "Requests that the own backend server did not answer";
+    case CounterId::kCancellations:
+      return "Cancellations received for requests on this node";
+    case CounterId::kPeerConnectionsLost:
+      return "TCP connections to other nodes that closed or went silent";
+    case CounterId::kGossipReceived:
+      return "Gossip messages received";
+    case CounterId::kGossipSent:
+      return "Gossip messages sent";
+    case CounterId::kLogReads:
+      return "Reads of the log service";
+    case CounterId::kLogReadFailures:
+      return "Reads of the log service that failed";
+    case CounterId::kLogAppends:
+      return "Appends sent to the log service";
+    case CounterId::kLogAppendFailures:
+      return "Appends that the log service refused or whose outcome is unknown";
+    case CounterId::kConfigFetches:
+      return "Requests to a peer for a newer configuration";
+  }
+  return "";
+}
+
 MetricFamily
 MakeFamily(const std::string& aName, const std::string& aHelp, MetricType aType)
 {
@@ -107,9 +154,10 @@
   add("invalid_peer_messages_total", "Dropped TCP messages", aLoop.invalidPeerMessages_);
   add("invalid_datagrams_total", "Dropped UDP messages", aLoop.invalidDatagrams_);
   add("undecodable_log_records_total", "Log records passed over", aLoop.undecodableLogRecords_);
-  add("control_sent_bytes_total", "Bytes of gossip and log traffic", aLoop.controlBytesSent_);
-  add(
-    "control_received_bytes_total", "Bytes of gossip and log traffic", aLoop.controlBytesReceived_);
+  add("control_sent_bytes_total", "Bytes of gossip and log traffic sent", aLoop.controlBytesSent_);
+  add("control_received_bytes_total",
+      "Bytes of gossip and log traffic received",
+      aLoop.controlBytesReceived_);
 }
 
 } // namespace
@@ -121,7 +169,7 @@
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     const auto counter = static_cast<CounterId>(index);
     families.push_back(MakeSingle(std::string(CounterName(counter)) + "_total",
-                                  "Since the start of the process",
+                                  HelpOf(counter),
                                   MetricType::Counter,
                                   static_cast<double>(aState.counters_.Value(counter))));
   }
--- /dev/null
+++ b/packages/node/tests/MetricsTest.cpp
@@ -0,0 +1,172 @@
+/** \file
+ * Guards against a metric that is renamed, has no explanation of its own, or holds another metric's
+ * value. Dashboards and alerts depend on the names.
+ */
+#include "NodeFixture.h"
+
+#include <criterion/criterion.h>
+#include <map>
+#include <set>
+#include <sstream>
+
+using namespace fulmarway;
+
+namespace {
+
+const std::set<std::string> kCounters = {
+  "attempts_total",
+  "backend_answers_total",
+  "backend_failures_total",
+  "backend_starts_total",
+  "calls_answered_total",
+  "calls_started_total",
+  "cancellations_total",
+  "config_fetches_total",
+  "control_received_bytes_total",
+  "control_sent_bytes_total",
+  "gossip_received_total",
+  "gossip_sent_total",
+  "hedges_total",
+  "invalid_datagrams_total",
+  "invalid_peer_messages_total",
+  "invalid_requests_total",
+  "log_append_failures_total",
+  "log_appends_total",
+  "log_read_failures_total",
+  "log_reads_total",
+  "peer_connections_lost_total",
+  "refusals_total",
+  "retries_total",
+  "ticket_redirects_total",
+  "ticket_repeats_total",
+  "undecodable_log_records_total",
+};
+
+const std::set<std::string> kGauges = {
+  "admission_level",   "backend_healthy", "caller_connections",
+  "concurrency_limit", "config_version",  "log_reachable",
+  "members",           "outbound_calls",  "queued_requests",
+  "running_requests",  "tickets",
+};
+
+struct Scrape
+{
+  std::map<std::string, std::string> help_;
+  std::map<std::string, std::set<std::string>> namesByType_;
+  std::map<std::string, std::string> values_;
+};
+
+/** Reads the text format; names lose their prefix. */
+Scrape
+Read(const std::string& aText)
+{
+  constexpr std::string_view kPrefix = "fulmarway_";
+  Scrape scrape;
+  std::istringstream lines(aText);
+  for (std::string line; std::getline(lines, line);) {
+    std::istringstream words(line);
+    std::string first;
+    std::string name;
+    words >> first;
+    if (first != "#") {
+      cr_expect(first.compare(0, kPrefix.size(), kPrefix) == 0, "%s", line.c_str());
+      const std::size_t space = line.rfind(' ');
+      scrape.values_[line.substr(kPrefix.size(), space - kPrefix.size())] = line.substr(space + 1);
+      continue;
+    }
+    std::string rest;
+    words >> first >> name;
+    std::getline(words >> std::ws, rest);
+    name = name.substr(kPrefix.size());
+    if (first == "HELP") {
+      scrape.help_[name] = rest;
+    } else {
+      scrape.namesByType_[rest].insert(name);
+    }
+  }
+  return scrape;
+}
+
+} // namespace
+
+Test(metrics, names_types_and_help)
+{
+  const Scrape scrape = Read(RenderMetrics(MakeTestState(), {}));
+  cr_expect(scrape.namesByType_.size() == 2);
+  cr_expect(scrape.namesByType_.at("counter") == kCounters);
+  cr_expect(scrape.namesByType_.at("gauge") == kGauges);
+  std::set<std::string> texts;
+  for (const auto& [name, help] : scrape.help_) {
+    cr_expect(help.size() > 8, "%s has no HELP text", name.c_str());
+    cr_expect(texts.insert(help).second, "%s: HELP text of another metric", name.c_str());
+  }
+}
+
+/** Prometheus takes a counter by its suffix, and a unit only from the name. */
+Test(metrics, counters_end_in_total_and_bytes_are_named)
+{
+  for (const std::string& name : kCounters) {
+    cr_expect(name.size() > 6 && name.compare(name.size() - 6, 6, "_total") == 0);
+  }
+  const Scrape scrape = Read(RenderMetrics(MakeTestState(), {}));
+  for (const auto& [name, help] : scrape.help_) {
+    const bool isInBytes = help.find("Bytes ") != std::string::npos;
+    cr_expect_eq(isInBytes, name.find("_bytes") != std::string::npos, "%s", name.c_str());
+  }
+}
+
+Test(metrics, every_counter_shows_its_own_value)
+{
+  NodeState state = MakeTestState();
+  for (std::size_t index = 0; index < kCounterCount; ++index) {
+    state.counters_.Add(static_cast<CounterId>(index), 1000 + index);
+  }
+  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7 };
+  const Scrape scrape = Read(RenderMetrics(state, loop));
+  for (std::size_t index = 0; index < kCounterCount; ++index) {
+    const auto name = std::string(CounterName(static_cast<CounterId>(index))) + "_total";
+    cr_expect_eq(scrape.values_.at(name), std::to_string(1000 + index), "%s", name.c_str());
+  }
+  const std::map<std::string, std::string> expected = {
+    { "invalid_requests_total", "1" },   { "invalid_peer_messages_total", "2" },
+    { "invalid_datagrams_total", "3" },  { "undecodable_log_records_total", "4" },
+    { "control_sent_bytes_total", "5" }, { "control_received_bytes_total", "6" },
+    { "caller_connections", "7" },       { "backend_healthy", "0" },
+  };
+  for (const auto& [name, value] : expected) {
+    cr_expect_eq(scrape.values_.at(name), value, "%s", name.c_str());
+  }
+}
+
+/** A large value in exponent form or cut to six digits would hide a slow change. */
+Test(metrics, large_counters_keep_their_digits)
+{
+  NodeState state = MakeTestState();
+  state.counters_.Add(CounterId::kAttempts, 123456789012);
+  const Scrape scrape = Read(RenderMetrics(state, {}));
+  cr_expect_eq(std::stod(scrape.values_.at("attempts_total")), 123456789012.0);
+}
+
+Test(metrics, refusals_tell_sides_verdicts_and_reasons_apart)
+{
+  NodeState state = MakeTestState();
+  for (const RefusalSide side : { RefusalSide::kInbound, RefusalSide::kOutbound }) {
+    for (const Verdict verdict : { Verdict::kNotRun, Verdict::kMayHaveRun }) {
+      NoteRefusal(state.counters_,
+                  { side, "dispatch", "list", Importance::kHigh, verdict, Reason::kDeadline },
+                  "click",
+                  Instant{});
+    }
+  }
+  const Scrape scrape = Read(RenderMetrics(state, {}));
+  for (const char* side : { "inbound", "outbound" }) {
+    for (const char* verdict : { "not-run", "may-have-run" }) {
+      const std::string name = std::string("refusals_total{side=\"") + side +
+                               "\",service=\"dispatch\",kind=\"list\",importance=\"high\","
+                               "verdict=\"" +
+                               verdict + "\",reason=\"deadline\"}";
+      cr_expect(
+        scrape.values_.contains(name) && scrape.values_.at(name) == "1", "%s", name.c_str());
+    }
+  }
+}
