--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -9,6 +9,9 @@
 constexpr int kBacklog = 1024;
 constexpr int kMaxAcceptsInTurn = 256;
 constexpr Duration kIdleTimeout = std::chrono::seconds(120);
+/** A sender that is slower than this for one request would hold a connection for any time. The
+ * largest body, 4 MiB, takes 1.1 Mbit/s. */
+constexpr Duration kRequestTimeout = std::chrono::seconds(30);
 
 void
 RefuseConnection(Poco::Net::StreamSocket& aSocket)
@@ -54,7 +57,7 @@
       }
       const std::uint64_t id = nextId_++;
       Connection connection{
-        TcpChannel(socket), peer.host().toString(), {}, {}, true, false, aNow
+        TcpChannel(socket), peer.host().toString(), {}, {}, true, false, false, aNow
       };
       poller_.Add({ settings_.connectionRole_, id }, socket);
       connections_.emplace(id, std::move(connection));
@@ -80,42 +83,56 @@
       Drop(id, events);
       return events;
     }
-    if (connection.exchange_ && connection.input_.size() > kMaxHeaderBytes) {
+    const bool isBusy = connection.exchange_ || connection.channel_.PendingBytes() > 0;
+    if (isBusy && connection.input_.size() > kMaxHeaderBytes) {
       // The client sends on without waiting for its reply.
       Drop(id, events);
       return events;
     }
-    ReadRequest(id, connection, events);
   }
-  Flush(id, events);
+  if (Flush(id, events)) {
+    ReadRequest(id, aNow, events);
+    Flush(id, events);
+  }
   return events;
 }
 
 void
-HttpServer::ReadRequest(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents)
+HttpServer::ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents)
 {
-  if (aConnection.exchange_ || aConnection.closing_) {
+  Connection& connection = connections_.at(aId);
+  // A client that does not read its replies must not make the node buffer more of them.
+  if (connection.exchange_ || connection.closing_ || connection.channel_.PendingBytes() > 0) {
     return;
   }
-  auto taken = TakeHttpRequest(aConnection.input_, settings_.maxBodyBytes_);
+  auto taken = TakeHttpRequest(connection.input_, settings_.maxBodyBytes_);
   if (!taken) {
     ++aEvents.invalid_;
     Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
                                  Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
     const std::string body = FormatInvalidRequest(taken.error(), head);
     head.setKeepAlive(false);
-    aConnection.closing_ = true;
-    Write(aId, aConnection, FormatHttp(head, body));
+    connection.closing_ = true;
+    Write(aId, connection, FormatHttp(head, body));
     return;
   }
   if (!*taken) {
+    if (!connection.input_.empty() && !connection.requestSince_) {
+      connection.requestSince_ = aNow;
+    }
     return;
   }
+  connection.requestSince_.reset();
+  if (connection.input_.empty()) {
+    // An idle connection must not keep the memory of its largest request.
+    connection.input_.shrink_to_fit();
+  }
   const ExchangeId exchange{ nextId_++ };
-  aConnection.exchange_ = exchange;
-  aConnection.keepAlive_ = (*taken)->head_.getKeepAlive() && accepting_;
+  connection.exchange_ = exchange;
+  connection.keepAlive_ = (*taken)->head_.getKeepAlive() && accepting_;
+  connection.isHead_ = (*taken)->head_.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
   exchanges_.emplace(exchange, aId);
-  aEvents.requests_.push_back({ exchange, aConnection.peer_, std::move(**taken) });
+  aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**taken) });
 }
 
 HttpServerEvents
@@ -136,9 +153,16 @@
   connection.lastUsedAt_ = aNow;
   connection.closing_ = !connection.keepAlive_ || !accepting_;
   aHead.setKeepAlive(!connection.closing_);
-  Write(id, connection, FormatHttp(aHead, aBody));
-  ReadRequest(id, connection, events);
-  Flush(id, events);
+  std::string bytes = FormatHttp(aHead, aBody);
+  if (connection.isHead_) {
+    // The client would take the body for the start of its next reply.
+    bytes.resize(bytes.size() - aBody.size());
+  }
+  Write(id, connection, std::move(bytes));
+  if (Flush(id, events)) {
+    ReadRequest(id, aNow, events);
+    Flush(id, events);
+  }
   return events;
 }
 
@@ -149,20 +173,18 @@
   poller_.SetWantsWrite({ settings_.connectionRole_, aId }, true);
 }
 
-void
+bool
 HttpServer::Flush(std::uint64_t aId, HttpServerEvents& aEvents)
 {
   const auto found = connections_.find(aId);
-  if (found == connections_.end()) {
-    return;
-  }
   TcpChannel& channel = found->second.channel_;
   const bool isOpen = channel.Flush() == ChannelStatus::kOpen;
   if (!isOpen || (found->second.closing_ && channel.PendingBytes() == 0)) {
     Drop(aId, aEvents);
-    return;
+    return false;
   }
   poller_.SetWantsWrite({ settings_.connectionRole_, aId }, channel.WantsWrite());
+  return true;
 }
 
 void
@@ -193,8 +215,13 @@
 {
   std::vector<std::uint64_t> idle;
   for (const auto& [id, connection] : connections_) {
-    const bool isUnused = !connection.exchange_ && connection.channel_.PendingBytes() == 0;
-    if (isUnused && (!accepting_ || aNow >= connection.lastUsedAt_ + kIdleTimeout)) {
+    if (connection.exchange_) {
+      continue;
+    }
+    const bool isUnusedAtStop = !accepting_ && connection.channel_.PendingBytes() == 0;
+    const bool isTooSlow =
+      connection.requestSince_ && aNow >= *connection.requestSince_ + kRequestTimeout;
+    if (isUnusedAtStop || isTooSlow || aNow >= connection.lastUsedAt_ + kIdleTimeout) {
       idle.push_back(id);
     }
   }
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -64,9 +64,13 @@
   /** Closes the listener; open connections end after their next reply. */
   void StopAccepting();
 
-  /** Closes connections that have sent no request for a long time. */
+  /** Closes connections that have sent no request for a long time, send one too slowly, or do not
+   * read their reply. */
   void CloseIdle(Instant aNow);
 
+  /** The bound address, with the port that was chosen for port 0. */
+  Poco::Net::SocketAddress Address() const { return listener_.address(); }
+
   std::size_t ConnectionCount() const { return connections_.size(); }
 
   /** Whether replies are still in output buffers. */
@@ -81,14 +85,20 @@
     std::optional<ExchangeId> exchange_;
     bool keepAlive_ = true;
     bool closing_ = false;
+    /** The request has no reply body. */
+    bool isHead_ = false;
     Instant lastUsedAt_;
+    /** When the first byte of an incomplete request was seen. */
+    std::optional<Instant> requestSince_ = {};
   };
 
-  void ReadRequest(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents);
+  /** Takes the next request once the reply to the one before is written. */
+  void ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
   void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
   void Drop(std::uint64_t aId, HttpServerEvents& aEvents);
-  /** Sends what is buffered; drops the connection when that fails or it is done. */
-  void Flush(std::uint64_t aId, HttpServerEvents& aEvents);
+  /** Sends what is buffered; drops the connection when that fails or it is done. Returns whether
+   * the connection is still there. */
+  bool Flush(std::uint64_t aId, HttpServerEvents& aEvents);
 
   HttpServerSettings settings_;
   Poller& poller_;
--- a/packages/node/TcpChannel.cpp
+++ b/packages/node/TcpChannel.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketImpl.h>
 #include <array>
+#include <cerrno>
 
 namespace fulmarway {
 
@@ -68,10 +69,13 @@
       bytesWritten_ += static_cast<std::uint64_t>(sent);
     }
     output_.clear();
+    // An idle connection must not keep the memory of its largest message.
+    output_.shrink_to_fit();
     outputStart_ = 0;
     return ChannelStatus::kOpen;
-  } catch (const Poco::Exception&) {
-    return ChannelStatus::kClosed;
+  } catch (const Poco::Exception& error) {
+    // POCO throws for a full socket buffer too; the rest goes out once it is writable.
+    return error.code() == EAGAIN ? ChannelStatus::kOpen : ChannelStatus::kClosed;
   }
 }
 
--- /dev/null
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -0,0 +1,247 @@
+/** \file
+ * Guards against an answer that is cut, belongs to another request or is taken twice, and against a
+ * wrong statement about whether the backend server may have seen a request.
+ */
+#include "node/HttpClient.h"
+#include "Loopback.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <criterion/criterion.h>
+#include <memory>
+
+using namespace fulmarway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kMaxBody = 1000;
+const std::string kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+
+class Client
+{
+public:
+  Client()
+    : listener_(Poco::Net::SocketAddress("127.0.0.1:0"))
+    , client_({ listener_.address(), SocketRole::kBackendConnection, kMaxBody }, poller_)
+  {
+    listener_.setBlocking(false);
+  }
+
+  void Send(std::uint64_t aToken)
+  {
+    Poco::Net::HTTPRequest head("GET", "/" + std::to_string(aToken), "HTTP/1.1");
+    client_.Send(aToken, head, "", now_, now_ + 10s);
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    for (int turn = 0; turn < kMaxTurns; ++turn) {
+      if (aCondition()) {
+        return true;
+      }
+      Turn(kTurn);
+    }
+    return false;
+  }
+
+  void Turn(Duration aWait = Duration(0))
+  {
+    for (const ReadySocket& ready : poller_.Poll(aWait)) {
+      client_.HandleReady(ready, now_);
+    }
+    for (HttpResult& result : client_.TakeResults()) {
+      results_.push_back(std::move(result));
+    }
+  }
+
+  void Settle()
+  {
+    for (int turn = 0; turn < 20; ++turn) {
+      Turn();
+    }
+  }
+
+  /** The server's end of the next connection. */
+  std::unique_ptr<LoopbackPeer> Accept()
+  {
+    std::unique_ptr<LoopbackPeer> peer;
+    const bool isAccepted = RunUntil([&] {
+      try {
+        peer = std::make_unique<LoopbackPeer>(listener_.acceptConnection());
+        return true;
+      } catch (const Poco::Exception&) {
+        return false;
+      }
+    });
+    cr_assert(isAccepted, "no connection");
+    return peer;
+  }
+
+  /** The server's end of a connection that has received the request. */
+  std::unique_ptr<LoopbackPeer> AcceptRequest(std::uint64_t aToken)
+  {
+    auto peer = Accept();
+    cr_assert(RunUntil([&] { return peer->Has("GET /" + std::to_string(aToken) + " "); }));
+    return peer;
+  }
+
+  bool RunUntilResult()
+  {
+    return RunUntil([&] { return !results_.empty(); });
+  }
+
+  Poco::Net::ServerSocket listener_;
+  Poller poller_;
+  HttpClient client_;
+  Instant now_;
+  std::vector<HttpResult> results_;
+};
+
+} // namespace
+
+Test(http_client, answers_and_their_faults)
+{
+  const struct
+  {
+    const char* name_;
+    std::string answer_;
+    bool closes_;
+    ExchangeOutcome outcome_;
+    bool isReused_;
+  } cases[] = {
+    { "whole", kWhole, false, ExchangeOutcome::kAnswered, true },
+    { "whole, then closed", kWhole, true, ExchangeOutcome::kAnswered, false },
+    { "not kept alive",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab",
+      false,
+      ExchangeOutcome::kAnswered,
+      false },
+    { "followed by more", kWhole + kWhole, false, ExchangeOutcome::kAnswered, false },
+    { "no answer", "", true, ExchangeOutcome::kLost, false },
+    { "cut head", "HTTP/1.1 200 OK\r\n", true, ExchangeOutcome::kLost, false },
+    { "cut body", kWhole.substr(0, kWhole.size() - 1), true, ExchangeOutcome::kLost, false },
+    { "cut chunk",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+      true,
+      ExchangeOutcome::kLost,
+      false },
+    { "no length", "HTTP/1.1 200 OK\r\n\r\nab", false, ExchangeOutcome::kLost, false },
+    { "malformed", "nonsense\r\n\r\n", false, ExchangeOutcome::kLost, false },
+    { "too large",
+      "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
+      false,
+      ExchangeOutcome::kLost,
+      false },
+  };
+  for (const auto& row : cases) {
+    Client client;
+    client.Send(1);
+    const auto server = client.AcceptRequest(1);
+    if (!row.answer_.empty()) {
+      server->Send(row.answer_);
+    }
+    if (row.closes_) {
+      server->Close();
+    }
+    cr_assert(client.RunUntilResult(), "%s", row.name_);
+    client.Settle();
+    cr_assert_eq(client.results_.size(), 1U, "%s", row.name_);
+    const HttpResult& result = client.results_[0];
+    cr_expect(result.token_ == 1 && result.outcome_ == row.outcome_, "%s", row.name_);
+    const bool isAnswered = row.outcome_ == ExchangeOutcome::kAnswered;
+    cr_expect_eq(result.response_.has_value(), isAnswered, "%s", row.name_);
+    cr_expect(!isAnswered || result.response_->body_ == "ab", "%s", row.name_);
+    client.Send(2);
+    if (row.isReused_) {
+      cr_expect(client.RunUntil([&] { return server->Has("GET /2 "); }), "%s", row.name_);
+    } else {
+      client.AcceptRequest(2);
+    }
+  }
+}
+
+/** Nothing was sent, so the request may be sent elsewhere. */
+Test(http_client, refused_connection_is_not_sent)
+{
+  Client client;
+  client.listener_.close();
+  client.Send(1);
+  cr_assert(client.RunUntilResult());
+  cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kNotSent);
+}
+
+Test(http_client, silent_server)
+{
+  Client client;
+  client.Send(1);
+  const auto server = client.AcceptRequest(1);
+  client.client_.Advance(client.now_ + 10s - 1us);
+  client.Settle();
+  cr_assert(client.results_.empty());
+  client.client_.Advance(client.now_ + 10s);
+  cr_assert(client.RunUntilResult());
+  cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kLost);
+  cr_expect(client.RunUntil([&] { return server->IsClosed(); }));
+}
+
+/** The late answer to a cancelled request must not reach the next one. */
+Test(http_client, cancelled_request)
+{
+  Client client;
+  client.Send(1);
+  const auto server = client.AcceptRequest(1);
+  client.client_.Cancel(1);
+  cr_assert(client.RunUntil([&] { return server->IsClosed(); }));
+  client.Send(2);
+  const auto next = client.AcceptRequest(2);
+  next->Send(kWhole);
+  cr_assert(client.RunUntilResult());
+  cr_expect_eq(client.results_[0].token_, 2U);
+  cr_expect_eq(client.results_.size(), 1U);
+}
+
+/** An answer that nobody asked for would be taken for that of the next request. */
+Test(http_client, bytes_on_an_idle_connection)
+{
+  Client client;
+  client.Send(1);
+  const auto server = client.AcceptRequest(1);
+  server->Send(kWhole);
+  cr_assert(client.RunUntilResult());
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nzz");
+  cr_assert(client.RunUntil([&] { return server->IsClosed(); }));
+  client.Send(2);
+  client.AcceptRequest(2)->Send(kWhole);
+  cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+  cr_expect_eq(client.results_[1].response_->body_, "ab");
+}
+
+/** The server may be closing an old connection, and the request on it would be lost. */
+Test(http_client, old_connection_is_not_used_again)
+{
+  Client client;
+  client.Send(1);
+  const auto server = client.AcceptRequest(1);
+  server->Send(kWhole);
+  cr_assert(client.RunUntilResult());
+  client.now_ += 3s;
+  client.Send(2);
+  client.AcceptRequest(2);
+  client.client_.Advance(client.now_);
+  cr_expect(client.RunUntil([&] { return server->IsClosed(); }));
+}
+
+Test(http_client, requests_at_once_use_a_connection_each)
+{
+  Client client;
+  client.Send(1);
+  client.Send(2);
+  const auto first = client.AcceptRequest(1);
+  const auto second = client.AcceptRequest(2);
+  second->Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2");
+  first->Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+  cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+  for (const HttpResult& result : client.results_) {
+    cr_expect_eq(result.response_->body_, std::to_string(result.token_));
+  }
+}
--- /dev/null
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -0,0 +1,353 @@
+/** \file
+ * Guards against requests that are taken before they are whole, replies on the wrong connection or
+ * out of order, and clients that hold memory or connections without end.
+ */
+#include "node/HttpServer.h"
+#include "Loopback.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kMaxBody = 1000;
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+class Server
+{
+public:
+  explicit Server(std::size_t aMaxConnections = 10)
+    : server_({ Poco::Net::SocketAddress("127.0.0.1:0"),
+                SocketRole::kCallerListener,
+                SocketRole::kCallerConnection,
+                aMaxConnections,
+                kMaxBody },
+              poller_)
+    , address_(server_.Address())
+  {
+  }
+
+  void Turn(Duration aWait = Duration(0))
+  {
+    for (const ReadySocket& ready : poller_.Poll(aWait)) {
+      if (ready.key_.role_ == SocketRole::kCallerListener) {
+        server_.Accept(now_);
+      } else {
+        Note(server_.HandleReady(ready, now_));
+      }
+    }
+  }
+
+  /** Whether the condition becomes true. */
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    for (int turn = 0; turn < kMaxTurns; ++turn) {
+      if (aCondition()) {
+        return true;
+      }
+      Turn(kTurn);
+    }
+    return false;
+  }
+
+  bool RunUntilRequests(std::size_t aCount)
+  {
+    return RunUntil([&] { return requests_.size() >= aCount; });
+  }
+
+  bool RunUntilConnections(std::size_t aCount)
+  {
+    return RunUntil([&] { return server_.ConnectionCount() == aCount; });
+  }
+
+  /** Handles all that is in the sockets, for tests that nothing happens. */
+  void Settle()
+  {
+    for (int turn = 0; turn < 20; ++turn) {
+      Turn();
+    }
+  }
+
+  void Reply(std::size_t aRequest, const std::string& aBody)
+  {
+    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
+                                 Poco::Net::HTTPResponse::HTTP_OK);
+    Note(server_.Reply(requests_.at(aRequest).exchange_, head, aBody, now_));
+  }
+
+  void Note(HttpServerEvents aEvents)
+  {
+    for (ArrivedRequest& request : aEvents.requests_) {
+      requests_.push_back(std::move(request));
+    }
+    gone_.insert(gone_.end(), aEvents.disconnected_.begin(), aEvents.disconnected_.end());
+    invalid_ += aEvents.invalid_;
+  }
+
+  Poller poller_;
+  HttpServer server_;
+  Poco::Net::SocketAddress address_;
+  Instant now_;
+  std::vector<ArrivedRequest> requests_;
+  std::vector<ExchangeId> gone_;
+  std::uint64_t invalid_ = 0;
+};
+
+} // namespace
+
+Test(http_server, keep_alive_carries_several_requests)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  for (std::size_t number = 0; number < 3; ++number) {
+    client.Send("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nb" + std::to_string(number));
+    cr_assert(server.RunUntilRequests(number + 1));
+    cr_expect_eq(server.requests_[number].message_.body_, "b" + std::to_string(number));
+    cr_expect_eq(server.requests_[number].peer_, "127.0.0.1");
+    server.Reply(number, "answer" + std::to_string(number));
+    cr_assert(server.RunUntil([&] { return client.Has("answer" + std::to_string(number)); }));
+  }
+  cr_expect(!client.IsClosed() && server.server_.ConnectionCount() == 1);
+}
+
+Test(http_server, closes_after_the_reply_when_the_client_wants_it)
+{
+  for (const char* text :
+       { "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", "GET /a HTTP/1.0\r\n\r\n" }) {
+    Server server;
+    LoopbackPeer client(server.address_);
+    client.Send(text);
+    cr_assert(server.RunUntilRequests(1));
+    server.Reply(0, "last");
+    cr_assert(server.RunUntil([&] { return client.IsClosed(); }), "%s", text);
+    cr_expect(client.Has("last") && client.Has("Connection: Close"), "%s", text);
+  }
+}
+
+/** A second request in progress would let replies overtake each other. */
+Test(http_server, pipelined_requests_are_answered_in_order)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send(kGet + kGet + kGet);
+  for (std::size_t number = 0; number < 3; ++number) {
+    cr_assert(server.RunUntilRequests(number + 1));
+    server.Settle();
+    cr_assert_eq(server.requests_.size(), number + 1);
+    server.Reply(number, "answer" + std::to_string(number));
+  }
+  cr_assert(server.RunUntil([&] { return client.Has("answer2"); }));
+  cr_expect(client.received_.find("answer0") < client.received_.find("answer1"));
+  cr_expect(client.received_.find("answer1") < client.received_.find("answer2"));
+}
+
+Test(http_server, refused_requests)
+{
+  const struct
+  {
+    std::string text_;
+    const char* status_;
+  } cases[] = {
+    { "\r\n\r\n", "400" },
+    { "GET\r\n\r\n", "400" },
+    { "POST /a HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400" },
+    { "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400" },
+    { "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400" },
+    { "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n", "400" },
+    { "POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", "413" },
+    { "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n", "413" },
+    { "GET /a HTTP/1.1\r\nX: " + std::string(kMaxHeaderBytes, 'x'), "431" },
+    { std::string(kMaxHeaderBytes + 1, 'x'), "431" },
+  };
+  for (const auto& row : cases) {
+    Server server;
+    LoopbackPeer client(server.address_);
+    client.Send(row.text_);
+    cr_expect(server.RunUntil([&] { return client.IsClosed(); }), "%.60s", row.text_.c_str());
+    const std::string line = std::string("HTTP/1.1 ") + row.status_ + " ";
+    cr_expect(client.received_.find(line) == 0,
+              "%.60s: %.20s",
+              row.text_.c_str(),
+              client.received_.c_str());
+    cr_expect(client.Has("Fulmarway-Verdict: not-run"), "%.60s", row.text_.c_str());
+    cr_expect(server.requests_.empty() && server.invalid_ == 1, "%.60s", row.text_.c_str());
+    cr_expect_eq(server.server_.ConnectionCount(), 0U);
+  }
+}
+
+/** A request that is cut anywhere must not run. */
+Test(http_server, truncated_requests)
+{
+  const std::string request = "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
+  Server server;
+  for (std::size_t size = 0; size < request.size(); ++size) {
+    LoopbackPeer client(server.address_);
+    client.Send(request.substr(0, size));
+    cr_assert(server.RunUntilConnections(1));
+    client.Close();
+    cr_assert(server.RunUntilConnections(0));
+  }
+  cr_expect(server.requests_.empty() && server.gone_.empty());
+}
+
+Test(http_server, request_in_single_bytes)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  for (const char letter : std::string("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")) {
+    cr_assert(server.requests_.empty());
+    client.Send({ &letter, 1 });
+    server.Settle();
+  }
+  cr_assert(server.RunUntilRequests(1));
+  cr_expect_eq(server.requests_[0].message_.body_, "abc");
+}
+
+/** Each byte shows that the client is there, so only the age of the request bounds it. */
+Test(http_server, slow_sender_is_dropped)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send("GET /a HTTP/1.1\r\n");
+  cr_assert(server.RunUntilConnections(1));
+  for (int step = 0; step < 6; ++step) {
+    server.Settle();
+    server.server_.CloseIdle(server.now_);
+    cr_assert_eq(server.server_.ConnectionCount(), 1U, "dropped after %d steps", step);
+    server.now_ += 5s;
+    client.Send("X");
+  }
+  server.Settle();
+  server.server_.CloseIdle(server.now_ + 5s);
+  cr_expect_eq(server.server_.ConnectionCount(), 0U);
+}
+
+Test(http_server, idle_connection_is_closed)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  server.server_.CloseIdle(server.now_ + 1h);
+  cr_assert_eq(server.server_.ConnectionCount(), 1U, "closed while the request runs");
+  server.Reply(0, "answer");
+  server.server_.CloseIdle(server.now_ + 119s);
+  cr_assert_eq(server.server_.ConnectionCount(), 1U);
+  server.server_.CloseIdle(server.now_ + 120s);
+  cr_expect_eq(server.server_.ConnectionCount(), 0U);
+}
+
+/** A client that does not read must not make the node buffer one reply after another. */
+Test(http_server, reply_that_is_not_read)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send(kGet + kGet);
+  cr_assert(server.RunUntilRequests(1));
+  server.Reply(0, std::string(32U << 20, 'x'));
+  server.Settle();
+  cr_expect_eq(server.requests_.size(), 1U);
+  cr_expect(server.server_.HasPendingOutput());
+  server.server_.CloseIdle(server.now_ + 119s);
+  cr_assert_eq(server.server_.ConnectionCount(), 1U);
+  server.server_.CloseIdle(server.now_ + 120s);
+  cr_expect_eq(server.server_.ConnectionCount(), 0U);
+}
+
+Test(http_server, too_much_input_during_a_request)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  client.Send(std::string(kMaxHeaderBytes + 1, 'x'));
+  cr_assert(server.RunUntilConnections(0));
+  cr_expect(server.gone_ == std::vector<ExchangeId>{ server.requests_[0].exchange_ });
+}
+
+Test(http_server, client_that_leaves_before_its_reply)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  client.Close();
+  cr_assert(server.RunUntilConnections(0));
+  cr_expect(server.gone_ == std::vector<ExchangeId>{ server.requests_[0].exchange_ });
+  LoopbackPeer other(server.address_);
+  other.Send(kGet);
+  cr_assert(server.RunUntilRequests(2));
+  server.Reply(0, "late");
+  server.Reply(1, "own");
+  cr_assert(server.RunUntil([&] { return other.Has("own"); }));
+  cr_expect(!other.Has("late"));
+}
+
+/** A reply body to HEAD would be read as the start of the next reply. */
+Test(http_server, reply_to_head_has_no_body)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send("HEAD /a HTTP/1.1\r\n\r\n" + kGet);
+  cr_assert(server.RunUntilRequests(1));
+  server.Reply(0, "not sent");
+  cr_assert(server.RunUntilRequests(2));
+  server.Reply(1, "answer");
+  cr_assert(server.RunUntil([&] { return client.Has("answer"); }));
+  cr_expect(client.Has("Content-Length: 8") && !client.Has("not sent"));
+}
+
+Test(http_server, connection_limit)
+{
+  Server server(2);
+  LoopbackPeer first(server.address_);
+  LoopbackPeer second(server.address_);
+  cr_assert(server.RunUntilConnections(2));
+  LoopbackPeer third(server.address_);
+  cr_assert(server.RunUntil([&] { return third.IsClosed(); }));
+  cr_expect(third.Has("HTTP/1.1 503 ") && third.Has("Fulmarway-Verdict: not-run"));
+  first.Close();
+  cr_assert(server.RunUntilConnections(1));
+  LoopbackPeer fourth(server.address_);
+  fourth.Send(kGet);
+  cr_expect(server.RunUntilRequests(1));
+}
+
+/** A planned stop finishes requests and closes the connections that are not in use. */
+Test(http_server, stop_accepting)
+{
+  Server server;
+  LoopbackPeer idle(server.address_);
+  cr_assert(server.RunUntilConnections(1));
+  LoopbackPeer busy(server.address_);
+  busy.Send(kGet + kGet);
+  cr_assert(server.RunUntilRequests(1));
+  server.server_.StopAccepting();
+  server.server_.CloseIdle(server.now_);
+  cr_assert(server.RunUntil([&] { return idle.IsClosed(); }));
+  server.Reply(0, "answer");
+  cr_assert(server.RunUntil([&] { return busy.IsClosed(); }));
+  cr_expect(busy.Has("answer") && busy.Has("Connection: Close"));
+  cr_expect_eq(server.requests_.size(), 1U);
+  cr_expect_throw(LoopbackPeer(server.address_), Poco::Exception);
+}
+
+/** A reply larger than the socket buffer is sent in parts; a full buffer is not a lost client. */
+Test(http_server, reply_larger_than_the_socket_buffer)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  const std::string body(32U << 20, 'x');
+  server.Reply(0, body);
+  cr_assert(server.RunUntil([&] {
+    client.Read();
+    return client.received_.size() > body.size() || client.IsClosed();
+  }));
+  cr_expect(!client.IsClosed());
+  const std::size_t start = client.received_.find("\r\n\r\n") + 4;
+  cr_expect(client.received_.substr(start) == body);
+}
--- /dev/null
+++ b/packages/node/tests/Loopback.h
@@ -0,0 +1,83 @@
+/** \file
+ * The other end of a connection in tests. It reads without blocking; a test drives both ends in
+ * turns, so no result depends on time.
+ */
+#pragma once
+
+#include "node/Poller.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <functional>
+#include <string>
+
+namespace fulmarway {
+
+/** Enough turns for any test, so that a missing event ends the test instead of hanging it. */
+inline constexpr int kMaxTurns = 500;
+inline constexpr Duration kTurn = std::chrono::milliseconds(10);
+
+class LoopbackPeer
+{
+public:
+  explicit LoopbackPeer(const Poco::Net::SocketAddress& aAddress)
+    : LoopbackPeer(Poco::Net::StreamSocket(aAddress))
+  {
+  }
+
+  explicit LoopbackPeer(const Poco::Net::StreamSocket& aSocket)
+    : socket_(aSocket)
+  {
+    socket_.setBlocking(false);
+    socket_.setNoDelay(true);
+  }
+
+  /** For texts that fit into the socket buffer. */
+  void Send(std::string_view aText)
+  {
+    socket_.sendBytes(aText.data(), static_cast<int>(aText.size()));
+  }
+
+  void Close() { socket_.close(); }
+
+  /** Reads what has arrived. */
+  void Read()
+  {
+    char buffer[65536];
+    try {
+      while (!closed_) {
+        const int count = socket_.receiveBytes(buffer, sizeof buffer);
+        if (count < 0) {
+          return;
+        }
+        closed_ = count == 0;
+        received_.append(buffer, static_cast<std::size_t>(count));
+      }
+    } catch (const Poco::TimeoutException&) {
+      return;
+    } catch (const Poco::Exception&) {
+      closed_ = true;
+    }
+  }
+
+  bool Has(std::string_view aText)
+  {
+    Read();
+    return received_.find(aText) != std::string::npos;
+  }
+
+  bool IsClosed()
+  {
+    Read();
+    return closed_;
+  }
+
+  std::string received_;
+
+private:
+  Poco::Net::StreamSocket socket_;
+  bool closed_ = false;
+};
+
+} // namespace fulmarway
