--- /dev/null
+++ b/packages/policy/tests/BackendHealthTest.cpp
@@ -0,0 +1,75 @@
+/** \file
+ * Guards against a backend server that counts as down while it answers requests, as up while it
+ * does not, or that changes state with every check.
+ */
+#include "policy/BackendHealth.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace fulmarway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant kStart{ std::chrono::hours(1) };
+
+/** Applies one letter every 500 ms: '+' passed check, '-' failed check, 'a' answer to a request,
+ * '.' nothing. Returns the state after each: 'U' for up, 'd' for down. */
+std::string
+Run(const std::string& aEvents)
+{
+  BackendHealth health;
+  std::string states;
+  Instant now = kStart;
+  for (const char event : aEvents) {
+    if (event == '+' || event == '-') {
+      health = NoteHealthCheck(health, event == '+', now);
+    } else if (event == 'a') {
+      health = NoteBackendAnswer(health, now);
+    }
+    states += health.healthy_ ? 'U' : 'd';
+    now += 500ms;
+  }
+  return states;
+}
+
+} // namespace
+
+Test(backend_health, event_table)
+{
+  const struct
+  {
+    const char* name_;
+    const char* events_;
+    const char* states_;
+  } cases[] = {
+    { "down until the first passed check", "..-+", "dddU" },
+    { "answers alone do not make it ready", "aa", "dd" },
+    { "two failed checks are not enough", "+--+--+", "UUUUUUU" },
+    { "three failed checks in a row", "+---", "UUUd" },
+    { "silence: checks that time out", "+-----", "UUUddd" },
+    { "one passed check brings it back", "+---+", "UUUdU" },
+    { "misleading failures while requests are answered", "+a-a-a-a-a-", "UUUUUUUUUUU" },
+    { "failures go on after the last answer", "+a------", "UUUUUddd" },
+    { "an answer that is 2 s old no longer counts", "+a.--.-", "UUUUUUd" },
+    { "a late answer does not undo the state", "+---a", "UUUdd" },
+    { "flapping checks keep it up", "+-+-+-+-", "UUUUUUUU" },
+    { "flapping with more failures than that", "+---+---+", "UUUdUUUdU" },
+  };
+  for (const auto& row : cases) {
+    cr_expect_eq(Run(row.events_), row.states_, "%s: %s", row.name_, Run(row.events_).c_str());
+  }
+}
+
+/** A health answer that arrives long after it was asked for says the same as one in time. */
+Test(backend_health, an_answer_counts_until_two_seconds_after_it)
+{
+  BackendHealth health = NoteHealthCheck({}, true, kStart);
+  health = NoteBackendAnswer(health, kStart);
+  for (int check = 0; check < 3; ++check) {
+    health = NoteHealthCheck(health, false, kStart + 2s - 1us);
+  }
+  cr_expect(health.healthy_);
+  cr_expect(!NoteHealthCheck(health, false, kStart + 2s).healthy_);
+}
