Move the execution of effects out of Node.cpp

The read token and the datagram overhead, which both files use, become constants of Node.

Node itself has no test in this package; scripts/demo was not run.

--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,13 +1,11 @@
 #include "node/Node.h"
 
 #include "platform/LogProtocol.h"
-#include "wire/ControlJson.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
 #include <Poco/Exception.h>
 #include <array>
-#include <spdlog/spdlog.h>
 
 namespace fulmarway {
 
@@ -15,17 +13,11 @@
 
 constexpr Duration kHealthInterval = std::chrono::milliseconds(500);
 constexpr Duration kHealthTimeout = std::chrono::seconds(1);
-constexpr Duration kLogTimeout = std::chrono::seconds(2);
-/** The reducer ends requests at their deadline; this only bounds a connection that it forgot. */
-constexpr Duration kBackendTimeout = std::chrono::minutes(15);
 constexpr Duration kExitFlushTime = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxAdminBodyBytes = 64U << 10;
 /** A snapshot of the configuration with its audit trail at the target size fits. */
 constexpr std::size_t kMaxLogBodyBytes = 16U << 20;
 constexpr int kMaxDatagramsInTurn = 256;
-constexpr std::uint64_t kReadToken = ~std::uint64_t{ 2 };
-/** IP and UDP headers of one datagram. */
-constexpr std::size_t kDatagramOverhead = 28;
 
 Poco::Net::HTTPResponse
 MakeResponseHead()
@@ -172,14 +164,6 @@
   }
 }
 
-void
-Node::RunEffects(Effects aEffects)
-{
-  for (Effect& effect : aEffects) {
-    std::visit([this](auto& aEffect) { RunEffect(aEffect); }, effect);
-  }
-}
-
 void
 Node::RunTick()
 {
@@ -408,116 +392,4 @@
     LogRecordsRead{ batch->earliest_, batch->latest_, batch->next_, std::move(batch->records_) });
 }
 
-void
-Node::RunEffect(ReplyToCaller& aEffect)
-{
-  Poco::Net::HTTPResponse head = MakeResponseHead();
-  const std::string body = FormatCallerReply(aEffect.reply_, head);
-  HandleCallerEvents(callers_.Reply(aEffect.exchange_, head, body, now_));
-}
-
-void
-Node::RunEffect(SendToPeer& aEffect)
-{
-  peers_.SendToPeer(aEffect.peer_, aEffect.address_, aEffect.message_, now_);
-}
-
-void
-Node::RunEffect(SendToLink& aEffect)
-{
-  peers_.SendToLink(aEffect.link_, aEffect.message_);
-}
-
-void
-Node::RunEffect(SendGossip& aEffect)
-{
-  const std::string datagram = EncodeDatagram(settings_.node_.clusterKey_, aEffect.message_);
-  try {
-    gossip_.sendTo(datagram.data(),
-                   static_cast<int>(datagram.size()),
-                   Poco::Net::SocketAddress(aEffect.address_));
-    counters_.controlBytesSent_ += datagram.size() + kDatagramOverhead;
-  } catch (const Poco::Exception&) {
-    // A lost datagram; gossip repeats what matters.
-  }
-}
-
-void
-Node::RunEffect(CallBackend& aEffect)
-{
-  Poco::Net::HTTPRequest head;
-  FormatBackendRequest(aEffect.request_, head);
-  backend_.Send(aEffect.request_.id_.value_,
-                head,
-                aEffect.request_.request_.body_,
-                now_,
-                now_ + kBackendTimeout);
-}
-
-void
-Node::RunEffect(CancelBackend& aEffect)
-{
-  backend_.Cancel(aEffect.request_.value_);
-}
-
-void
-Node::RunEffect(ReadLog& aEffect)
-{
-  if (!log_) {
-    queue_.push_back(LogReadFailed{});
-    return;
-  }
-  const LogRequest request = MakeReadRequest(aEffect.from_);
-  Poco::Net::HTTPRequest head(request.method_, request.uri_, Poco::Net::HTTPMessage::HTTP_1_1);
-  counters_.controlBytesSent_ += request.uri_.size();
-  log_->Send(kReadToken, head, request.body_, now_, now_ + kLogTimeout);
-}
-
-void
-Node::RunEffect(AppendLog& aEffect)
-{
-  if (!log_) {
-    queue_.push_back(AppendFinished{ aEffect.token_, AppendResult::kRefused });
-    return;
-  }
-  const LogRequest request = MakeAppendRequest(settings_.node_.clusterKey_, aEffect.record_);
-  Poco::Net::HTTPRequest head(request.method_, request.uri_, Poco::Net::HTTPMessage::HTTP_1_1);
-  counters_.controlBytesSent_ += request.body_.size();
-  log_->Send(aEffect.token_, head, request.body_, now_, now_ + kLogTimeout);
-}
-
-void
-Node::RunEffect(ReplyToCommand& aEffect)
-{
-  SendAdminReply(aEffect.exchange_, { 200, "application/json", ToJson(aEffect.reply_) });
-}
-
-void
-Node::RunEffect(ReplyInForce& aEffect)
-{
-  SendAdminReply(aEffect.exchange_, { 200, "application/json", ToJson(aEffect.document_) });
-}
-
-void
-Node::RunEffect(LogLine& aEffect)
-{
-  std::string fields;
-  for (const auto& [name, value] : aEffect.fields_) {
-    fields += ' ' + name + '=' + value;
-  }
-  spdlog::info("event={}{}", aEffect.event_, fields);
-}
-
-void
-Node::RunEffect(StopAccepting&)
-{
-  callers_.StopAccepting();
-}
-
-void
-Node::RunEffect(ExitProcess&)
-{
-  exiting_ = true;
-}
-
 } // namespace fulmarway
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -39,6 +39,11 @@
   void Run(const std::atomic<int>& aStopSignals);
 
 private:
+  /** Token of the one read of the log; the other tokens are those of appends. */
+  static constexpr std::uint64_t kReadToken = ~std::uint64_t{ 2 };
+  /** IP and UDP headers of one datagram. */
+  static constexpr std::size_t kDatagramOverhead = 28;
+
   void Dispatch(EventBody aBody);
   void DrainQueue();
   void RunEffects(Effects aEffects);
