Name a command that the node itself refuses, and show no offset for it

Cause: a command that failed the node's own check was shown as "rejected" with "offset 0", like one that is in the log, and then was missing in the audit trail. The audit trail is the fold of the log and must be equal on every node, so such a command can't be in it.

Decision: a new outcome, invalid, without an offset; exit status 1 as before. Ruled out: appending such commands, which would spend appends of the log service on typing errors.

--- a/packages/ctl/Client.cpp
+++ b/packages/ctl/Client.cpp
@@ -22,7 +22,7 @@
 IsFinal(ReplyOutcome aOutcome)
 {
   return aOutcome == ReplyOutcome::kAccepted || aOutcome == ReplyOutcome::kConflict ||
-         aOutcome == ReplyOutcome::kRejected;
+         aOutcome == ReplyOutcome::kRejected || aOutcome == ReplyOutcome::kInvalid;
 }
 
 } // namespace
--- a/packages/ctl/Render.cpp
+++ b/packages/ctl/Render.cpp
@@ -138,8 +138,10 @@
   }
   std::string text =
     std::string(ToString(aDocument.outcome_)) + ": version " + std::to_string(aDocument.version_);
-  if (aDocument.outcome_ != ReplyOutcome::kUnknown &&
-      aDocument.outcome_ != ReplyOutcome::kUnavailable) {
+  const bool isInLog = aDocument.outcome_ == ReplyOutcome::kAccepted ||
+                       aDocument.outcome_ == ReplyOutcome::kConflict ||
+                       aDocument.outcome_ == ReplyOutcome::kRejected;
+  if (isInLog) {
     text += ", offset " + std::to_string(aDocument.offset_);
   }
   return text + (aDocument.detail_.empty() ? "" : "; " + Printable(aDocument.detail_)) + '\n';
--- a/packages/ctl/Session.cpp
+++ b/packages/ctl/Session.cpp
@@ -107,6 +107,7 @@
       return ExitStatus::kDone;
     case ReplyOutcome::kConflict:
     case ReplyOutcome::kRejected:
+    case ReplyOutcome::kInvalid:
       return ExitStatus::kRefused;
     case ReplyOutcome::kUnavailable:
       return ExitStatus::kNoNode;
--- a/packages/model/ControlDocuments.cpp
+++ b/packages/model/ControlDocuments.cpp
@@ -16,6 +16,8 @@
       return "unknown";
     case ReplyOutcome::kUnavailable:
       return "unavailable";
+    case ReplyOutcome::kInvalid:
+      return "invalid";
   }
   return "unknown";
 }
--- a/packages/model/ControlDocuments.h
+++ b/packages/model/ControlDocuments.h
@@ -40,10 +40,13 @@
   kUnknown,
   /** The command was not appended: the log or this node's view of it is not available. */
   kUnavailable,
+  /** The node's own check found a fault, so the command was not appended and is not in the audit
+   * trail. */
+  kInvalid,
 };
 
 inline constexpr std::uint8_t kReplyOutcomeCount =
-  static_cast<std::uint8_t>(ReplyOutcome::kUnavailable) + 1;
+  static_cast<std::uint8_t>(ReplyOutcome::kInvalid) + 1;
 
 std::string_view
 ToString(ReplyOutcome aOutcome);
--- a/packages/policy/CommandFlow.cpp
+++ b/packages/policy/CommandFlow.cpp
@@ -57,7 +57,7 @@
   const auto problem = CheckCommand(ConfigOf(aState), aEvent.command_);
   if (problem) {
     aContext.effects_.push_back(
-      ReplyToCommand{ aEvent.exchange_, { ReplyOutcome::kRejected, version, 0, *problem } });
+      ReplyToCommand{ aEvent.exchange_, { ReplyOutcome::kInvalid, version, 0, *problem } });
     return;
   }
   ControlState& control = aState.control_;
