--- a/packages/ctl/Render.cpp
+++ b/packages/ctl/Render.cpp
@@ -11,6 +11,15 @@
 
 namespace {
 
+/** Whether a refusal protects the capacity of a backend server; the others have causes of their
+ * own, such as a caller that went away. */
+bool
+IsShed(Reason aReason)
+{
+  return aReason == Reason::kShedByLevel || aReason == Reason::kShedByQueue ||
+         aReason == Reason::kDeadline;
+}
+
 template<typename Doc>
 std::string
 JsonLine(const Doc& aDocument)
@@ -209,17 +218,23 @@
   if (aFormat == OutputFormat::kJson) {
     return JsonLine(aDocument);
   }
-  std::vector<Row> rows;
-  for (const ShedCount& shed : aDocument.counts_) {
-    rows.push_back({ shed.service_ + '/' + shed.kind_,
-                     std::string(ToString(shed.importance_)),
-                     std::string(ToString(shed.reason_)),
-                     std::to_string(shed.count_) });
+  std::vector<Row> shed;
+  std::vector<Row> others;
+  for (const ShedCount& entry : aDocument.counts_) {
+    (IsShed(entry.reason_) ? shed : others)
+      .push_back({ entry.service_ + '/' + entry.kind_,
+                   std::string(ToString(entry.importance_)),
+                   Printable(entry.side_),
+                   std::string(ToString(entry.reason_)),
+                   std::to_string(entry.count_) });
   }
-  return "admits " + DescribeLevel(aDocument.level_) + "; limit " +
-         std::to_string(aDocument.limit_) + '\n' +
-         RenderTable({ { "KIND" }, { "IMPORTANCE" }, { "REASON" }, { "SHED", Align::kRight } },
-                     rows);
+  const auto table = [](const char* aCount, const std::vector<Row>& aRows) {
+    return RenderTable(
+      { { "KIND" }, { "IMPORTANCE" }, { "SIDE" }, { "REASON" }, { aCount, Align::kRight } }, aRows);
+  };
+  std::string text = "admits " + DescribeLevel(aDocument.level_) + "; limit " +
+                     std::to_string(aDocument.limit_) + '\n' + table("SHED", shed);
+  return others.empty() ? text : text + '\n' + table("REFUSED", others);
 }
 
 std::string
--- a/packages/ctl/tests/FakeNode.h
+++ b/packages/ctl/tests/FakeNode.h
@@ -109,8 +109,11 @@
 {
   return { { 130 },
            11,
-           { { "dispatch", "list", Importance::kNormal, Reason::kShedByLevel, 1042 },
-             { "dispatch", "confirm", Importance::kCritical, Reason::kDeadline, 3 } } };
+           { { "dispatch", "list", Importance::kNormal, Reason::kShedByLevel, 1042, "inbound" },
+             { "dispatch", "list", Importance::kNormal, Reason::kShedByLevel, 17, "outbound" },
+             { "dispatch", "list", Importance::kNormal, Reason::kCancelled, 2, "inbound" },
+             { "dispatch", "confirm", Importance::kCritical, Reason::kTicketNeeded, 5, "outbound" },
+             { "dispatch", "confirm", Importance::kCritical, Reason::kDeadline, 3, "inbound" } } };
 }
 
 inline WhyDocument
--- a/packages/model/ControlDocuments.h
+++ b/packages/model/ControlDocuments.h
@@ -117,6 +117,8 @@
   Reason reason_ = Reason::kNone;
   /** Since the start of the node. */
   std::uint64_t count_ = 0;
+  /** "inbound" for the backend server's node, "outbound" for the entry node of the call. */
+  std::string side_;
 
   bool operator==(const ShedCount&) const = default;
 };
--- a/packages/node/AdminDocuments.cpp
+++ b/packages/node/AdminDocuments.cpp
@@ -60,7 +60,12 @@
   ShedDocument document{ LevelOf(aState.admission_), LimitOf(aState.admission_), {} };
   for (const auto& [key, count] : aState.counters_.refusals_) {
     if (key.verdict_ == Verdict::kNotRun) {
-      document.counts_.push_back({ key.service_, key.kind_, key.importance_, key.reason_, count });
+      document.counts_.push_back({ key.service_,
+                                   key.kind_,
+                                   key.importance_,
+                                   key.reason_,
+                                   count,
+                                   std::string(ToString(key.side_)) });
     }
   }
   return document;
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -99,7 +99,7 @@
   for (const auto& [key, count] : aCounters.refusals_) {
     AddValue(family,
              static_cast<double>(count),
-             { { "side", key.side_ == RefusalSide::kInbound ? "inbound" : "outbound" },
+             { { "side", std::string(ToString(key.side_)) },
                { "service", key.service_ },
                { "kind", key.kind_ },
                { "importance", std::string(ToString(key.importance_)) },
--- a/packages/node/tests/AdminApiTest.cpp
+++ b/packages/node/tests/AdminApiTest.cpp
@@ -192,7 +192,8 @@
   const auto load = ParseLoadDocument(get("load"));
   cr_expect(load && load->connections_ == 212);
   const auto shed = ParseShedDocument(get("shed"));
-  cr_expect(shed && shed->counts_.size() == 1 && shed->counts_[0].count_ == 3);
+  cr_expect(shed && shed->counts_.size() == 1 && shed->counts_[0].count_ == 3 &&
+            shed->counts_[0].side_ == "inbound");
 }
 
 Test(admin_api, audit_trail_is_cut_to_the_latest)
--- a/packages/policy/Counters.cpp
+++ b/packages/policy/Counters.cpp
@@ -20,6 +20,12 @@
   return kCounterNames[static_cast<std::size_t>(aCounter)];
 }
 
+std::string_view
+ToString(RefusalSide aSide)
+{
+  return aSide == RefusalSide::kInbound ? "inbound" : "outbound";
+}
+
 void
 NoteRefusal(Counters& aCounters, RefusalKey aKey, std::string aClickId, Instant aNow)
 {
--- a/packages/policy/Counters.h
+++ b/packages/policy/Counters.h
@@ -55,6 +55,10 @@
   kOutbound,
 };
 
+/** "inbound" or "outbound". */
+std::string_view
+ToString(RefusalSide aSide);
+
 struct RefusalKey
 {
   RefusalSide side_ = RefusalSide::kInbound;
--- a/packages/wire/ControlMembers.h
+++ b/packages/wire/ControlMembers.h
@@ -105,6 +105,7 @@
   aVisit("importance", aDoc.importance_);
   aVisit("reason", aDoc.reason_);
   aVisit("count", aDoc.count_);
+  aVisit("side", aDoc.side_);
 }
 
 template<typename Visit>
