--- a/packages/model/ControlDocuments.h
+++ b/packages/model/ControlDocuments.h
@@ -40,10 +40,13 @@
   kUnknown,
   /** The command was not appended: the log or this node's view of it is not available. */
   kUnavailable,
+  /** The node's own check found a fault, so the command was not appended and is not in the audit
+   * trail. */
+  kInvalid,
 };
 
 inline constexpr std::uint8_t kReplyOutcomeCount =
-  static_cast<std::uint8_t>(ReplyOutcome::kUnavailable) + 1;
+  static_cast<std::uint8_t>(ReplyOutcome::kInvalid) + 1;
 
 std::string_view
 ToString(ReplyOutcome aOutcome);
@@ -114,6 +117,8 @@
   Reason reason_ = Reason::kNone;
   /** Since the start of the node. */
   std::uint64_t count_ = 0;
+  /** "inbound" for the backend server's node, "outbound" for the entry node of the call. */
+  std::string side_;
 
   bool operator==(const ShedCount&) const = default;
 };
