Measure control at 890 nodes by kind of message

Cause: docs/CAPACITY.md has rows "not measured", and the traffic test reports one sum for all messages of a node, so it does not show which message takes the 23.5 KB/s of the highest node.

--- a/packages/policy/tests/MemberNetwork.h
+++ b/packages/policy/tests/MemberNetwork.h
@@ -8,11 +8,13 @@
 #include "policy/Membership.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace fulmarway::tests {
@@ -34,6 +36,9 @@
   int group_ = 0;
   std::uint64_t bytesSent_ = 0;
   std::uint64_t bytesReceived_ = 0;
+  /** The same bytes by kind of message: the index of its body in GossipBody. */
+  std::array<std::uint64_t, std::variant_size_v<GossipBody>> sentByBody_{};
+  std::array<std::uint64_t, std::variant_size_v<GossipBody>> receivedByBody_{};
   /** State of each member and when it was first seen in it; filled from the reported changes. */
   std::map<NodeId, std::map<MemberState, Instant>> firstSeen_;
   /** Members as the changes describe them. */
@@ -278,7 +283,9 @@
     constexpr std::size_t kIpAndUdpHeader = 28;
     const std::size_t payload = EstimateBytes(aOutgoing.message_);
     largestDatagram_ = std::max(largestDatagram_, payload);
+    const std::size_t body = aOutgoing.message_.body_.index();
     aFrom.bytesSent_ += payload + kIpAndUdpHeader;
+    aFrom.sentByBody_[body] += payload + kIpAndUdpHeader;
     const NodeId to = NodeIdOf(aOutgoing.address_);
     const auto receiver = nodes_.find(to);
     if (receiver == nodes_.end() || receiver->second.group_ != aFrom.group_ ||
@@ -291,6 +298,7 @@
         const Duration delay{ 1000 + Random() % (1000 * faults_.maxDelayMs_) };
         events_.emplace(now_ + delay, Delivery{ to, aOutgoing.message_ });
         receiver->second.bytesReceived_ += payload + kIpAndUdpHeader;
+        receiver->second.receivedByBody_[body] += payload + kIpAndUdpHeader;
       }
     }
   }
