Skip a digest to a domain that has just agreed

Cause: at 890 nodes a delegate spent 5.3 of its quiet 5.5 KB/s on digests between domains and their answers. Both sides of a pair of domains sent digests of the same two tables. Ruled out: leaving out the answer to an equal digest, because it is the life sign from which the reach of the domain follows; a longer interval, because section 10 of the design says one second.

A delegate now sends no digest to a domain from which an equal one came within the last second, unless its own table has changed since.

Decision: the budget of 6 KB/s holds over any 60 s. Test: the traffic test checks every node over 60 s with one restart (10 s with it, 50 s quiet) against 6 KB/s.

--- a/packages/policy/MemberDigest.cpp
+++ b/packages/policy/MemberDigest.cpp
@@ -175,6 +175,13 @@
   const auto sender = state.members_.find(aMessage.sender_);
   const bool sameDomain = sender != state.members_.end() &&
                           sender->second.record_.identity_.domain_ == state.self_.identity_.domain_;
+  if (equal && sender != state.members_.end()) {
+    const auto domain = state.domains_.find(sender->second.record_.identity_.domain_);
+    if (domain != state.domains_.end()) {
+      domain->second.agreedAt_ = aTurn.now_;
+      domain->second.agreedHash_ = aHash;
+    }
+  }
   if (!equal && MayReconcile(aTurn)) {
     SendMessage(aTurn, aMessage.senderAddress_, MakeMessage(state, ListOf(DigestsByDomain(state))));
   }
@@ -360,6 +367,13 @@
   SendMessage(aTurn, aAddress, MakeMessage(aTurn.state_, std::move(digest)));
 }
 
+bool
+HasAgreed(const MembershipTurn& aTurn, const DomainReach& aDomain, Duration aWithin)
+{
+  return aDomain.agreedAt_ && aTurn.now_ - *aDomain.agreedAt_ < aWithin &&
+         DigestOfAll(aTurn.state_) == aDomain.agreedHash_;
+}
+
 void
 SendReach(MembershipTurn& aTurn, const std::string& aAddress)
 {
--- a/packages/policy/MemberDigest.h
+++ b/packages/policy/MemberDigest.h
@@ -22,6 +22,11 @@
 void
 SendDigest(MembershipTurn& aTurn, const std::string& aAddress);
 
+/** Whether a member of the domain sent an equal digest in the time before now and the own table has
+ * not changed since. The digests of both directions compare the same tables, so one is enough. */
+bool
+HasAgreed(const MembershipTurn& aTurn, const DomainReach& aDomain, Duration aWithin);
+
 /** Tells a member of the own domain which domains cannot be reached. */
 void
 SendReach(MembershipTurn& aTurn, const std::string& aAddress);
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -84,6 +84,9 @@
 {
   MembershipState& state = aTurn.state_;
   for (const auto& [domain, reach] : state.domains_) {
+    if (HasAgreed(aTurn, reach, kDelegateDigestInterval)) {
+      continue;
+    }
     std::vector<NodeId> targets = DelegatesOf(state, domain);
     if (targets.empty() || aTurn.now_ - reach.heardAt_ > kDelegatesSilent) {
       targets.clear();
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -98,6 +98,9 @@
   Instant heardAt_;
   /** kAlive, kSuspect or kDead, as a delegate of the own domain reported it. */
   MemberState reported_ = MemberState::kAlive;
+  /** When a digest of one of its members was equal to the own one, and that hash. */
+  std::optional<Instant> agreedAt_;
+  std::uint64_t agreedHash_ = 0;
 
   bool operator==(const DomainReach&) const = default;
 };
--- a/packages/policy/tests/MembershipTrafficTest.cpp
+++ b/packages/policy/tests/MembershipTrafficTest.cpp
@@ -15,11 +15,16 @@
 constexpr int kDomains = 8;
 /** 6 KB a second for all control traffic of a node, sent and received together. */
 constexpr double kBudget = 6000;
+/** The budget holds over any 60 s: a joining node has to receive the whole table, about 160 KB at
+ * 890 nodes, which alone takes 27 s at 6 KB a second. */
+constexpr int kBudgetSeconds = 60;
+constexpr int kSeconds = 10;
 
 struct Traffic
 {
   double mean_ = 0;
   double highest_ = 0;
+  std::map<NodeId, double> byNode_;
 };
 
 void
@@ -32,20 +37,32 @@
 }
 
 Traffic
-Measure(MemberNetwork& aNetwork, int aSeconds)
+Measure(MemberNetwork& aNetwork)
 {
   ResetCounters(aNetwork);
-  aNetwork.Run(std::chrono::seconds(aSeconds));
+  aNetwork.Run(std::chrono::seconds(kSeconds));
   Traffic traffic;
   for (const auto& [id, node] : aNetwork.Nodes()) {
-    const double rate =
-      static_cast<double>(node.bytesSent_ + node.bytesReceived_) / static_cast<double>(aSeconds);
+    const double rate = static_cast<double>(node.bytesSent_ + node.bytesReceived_) / kSeconds;
     traffic.mean_ += rate / static_cast<double>(aNetwork.Nodes().size());
     traffic.highest_ = std::max(traffic.highest_, rate);
+    traffic.byNode_[id] = rate;
   }
   return traffic;
 }
 
+/** Highest rate of a node over the time of the budget when it sees one restart in this time. */
+double
+HighestInWindow(const Traffic& aQuiet, const Traffic& aChurn)
+{
+  double highest = 0;
+  for (const auto& [id, churn] : aChurn.byNode_) {
+    const double bytes = churn * kSeconds + aQuiet.byNode_.at(id) * (kBudgetSeconds - kSeconds);
+    highest = std::max(highest, bytes / kBudgetSeconds);
+  }
+  return highest;
+}
+
 } // namespace
 
 Test(membership_traffic, stays_inside_the_budget_at_each_size)
@@ -57,21 +74,26 @@
     network.ShareAllRecords();
     network.Run(std::chrono::seconds(12));
     cr_assert(network.Converged(), "%d nodes", nodes);
-    const Traffic quiet = Measure(network, 10);
+    const Traffic quiet = Measure(network);
 
-    // One restart in ten seconds is over 40 times as many as on an ordinary day.
+    // One restart in ten seconds is over 40 times as many as on an ordinary day, one in a minute
+    // nearly seven times as many.
     network.Restart(network.IdAt(static_cast<std::size_t>(nodes) / 2), 2'000'000);
-    const Traffic churn = Measure(network, 10);
+    const Traffic churn = Measure(network);
+    const double window = HighestInWindow(quiet, churn);
     cr_log_info("%d nodes in %d domains: sent and received by a node, bytes/s: "
-                "quiet mean %.0f highest %.0f; with a restart mean %.0f highest %.0f",
+                "quiet mean %.0f highest %.0f; with a restart mean %.0f highest %.0f; "
+                "highest over 60 s %.0f",
                 nodes,
                 domains,
                 quiet.mean_,
                 quiet.highest_,
                 churn.mean_,
-                churn.highest_);
+                churn.highest_,
+                window);
     cr_assert(quiet.highest_ < kBudget, "%d nodes: %.0f", nodes, quiet.highest_);
     cr_assert(churn.mean_ < kBudget, "%d nodes: %.0f", nodes, churn.mean_);
+    cr_assert(window < kBudget, "%d nodes: %.0f over 60 s", nodes, window);
     cr_assert(network.LargestDatagram() <= kMaxDatagramBytes);
   }
 }
