Test the spread of a configuration version at size

The virtual-time network can follow versions: a node that sees a higher version in a header has it in force 24 ms later.

--- a/packages/policy/tests/MemberNetwork.h
+++ b/packages/policy/tests/MemberNetwork.h
@@ -119,6 +119,22 @@
     Apply(aId, SetOwnState(Take(aId), aState, aSuccessor, Random(), now_));
   }
 
+  /** The node has this configuration version in force. */
+  void SetVersion(NodeId aId, std::uint64_t aVersion)
+  {
+    Apply(aId, SetOwnVersions(Take(aId), aVersion, 0, Random(), now_));
+  }
+
+  /** Nodes fetch a higher version that a header names; it is in force this much later. */
+  void FollowVersions(Duration aFetchTime) { fetchTime_ = aFetchTime; }
+
+  int CountWithVersion(std::uint64_t aVersion) const
+  {
+    return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), [&](const auto& aNode) {
+      return aNode.second.state_.self_.configVersion_ >= aVersion;
+    }));
+  }
+
   void Pause(NodeId aId) { nodes_.at(aId).paused_ = true; }
 
   /** Datagrams of the time of the pause are delivered, or lost when the whole VM was paused. */
@@ -129,7 +145,7 @@
       held_.erase(aId);
     }
     for (GossipMessage& message : held_[aId]) {
-      events_.emplace(now_, Delivery{ aId, std::move(message) });
+      events_.emplace(now_, Delivery{ aId, std::move(message), {} });
     }
     held_.erase(aId);
     ScheduleTick(aId, 0);
@@ -269,13 +285,15 @@
     NodeId to_;
     /** A tick when empty. */
     std::optional<GossipMessage> message_;
+    /** A fetched configuration version. */
+    std::optional<std::uint64_t> version_;
   };
 
   Incarnation NewIncarnation() { return { Random(), Random() }; }
 
   void ScheduleTick(NodeId aId, std::uint64_t aMicroseconds)
   {
-    events_.emplace(now_ + Duration{ aMicroseconds }, Delivery{ aId, {} });
+    events_.emplace(now_ + Duration{ aMicroseconds }, Delivery{ aId, {}, {} });
   }
 
   void Post(SimulatedNode& aFrom, OutgoingGossip aOutgoing)
@@ -296,7 +314,7 @@
     for (int i = 0; i < copies; ++i) {
       if (!Chance(faults_.lossPercent_)) {
         const Duration delay{ 1000 + Random() % (1000 * faults_.maxDelayMs_) };
-        events_.emplace(now_ + delay, Delivery{ to, aOutgoing.message_ });
+        events_.emplace(now_ + delay, Delivery{ to, aOutgoing.message_, {} });
         receiver->second.bytesReceived_ += payload + kIpAndUdpHeader;
         receiver->second.receivedByBody_[body] += payload + kIpAndUdpHeader;
       }
@@ -317,7 +335,13 @@
       }
       return;
     }
-    if (aDelivery.message_) {
+    if (aDelivery.version_) {
+      SetVersion(aDelivery.to_, *aDelivery.version_);
+    } else if (aDelivery.message_) {
+      const std::uint64_t version = aDelivery.message_->configVersion_;
+      if (fetchTime_ && version > node.state_.self_.configVersion_) {
+        events_.emplace(now_ + *fetchTime_, Delivery{ aDelivery.to_, {}, version });
+      }
       Apply(aDelivery.to_, HandleGossip(Take(aDelivery.to_), *aDelivery.message_, Random(), now_));
     } else {
       Apply(aDelivery.to_, AdvanceMembership(Take(aDelivery.to_), Random(), now_));
@@ -334,6 +358,8 @@
   std::map<NodeId, std::vector<GossipMessage>> held_;
   std::set<std::pair<NodeId, NodeId>> cut_;
   std::size_t largestDatagram_ = 0;
+  /** Versions are not followed when empty. */
+  std::optional<Duration> fetchTime_;
 };
 
 } // namespace fulmarway::tests
--- a/packages/policy/tests/tools/MeasureControl.cpp
+++ b/packages/policy/tests/tools/MeasureControl.cpp
@@ -4,6 +4,7 @@
  *
  *   measure-control traffic NODES SECONDS RESTARTS [SEED]
  *   measure-control cold NODES SECONDS [SEED]
+ *   measure-control config NODES [SEED]
  *   measure-control node NODES
  *   measure-control fold SERVICES KINDS
  */
@@ -26,11 +27,12 @@
 constexpr const char* kBodyNames[] = { "probe",   "ack/changes", "probe-request", "digest",
                                        "summary", "request",     "records" };
 
-/** Bytes in use on the heap, with what the allocator adds. */
+/** Bytes in use on the heap and in mapped blocks, with what the allocator adds. */
 double
 HeapBytes()
 {
-  return static_cast<double>(mallinfo2().uordblks);
+  const struct mallinfo2 info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
 }
 
 double
@@ -130,7 +132,7 @@
   for (int i = 0; i < aRestarts; ++i) {
     restarted = network.IdAt(static_cast<std::size_t>(aNodes) / 2 + 7 * static_cast<unsigned>(i));
     network.Restart(restarted, 2'000'000);
-    network.Run(std::chrono::seconds(aSeconds) / aRestarts);
+    network.Run(Duration(std::chrono::seconds(aSeconds)) / aRestarts);
   }
   PrintTraffic(network, std::to_string(aRestarts) + " restarts", aSeconds, restarted);
   std::printf("converged %d\n", network.Converged() ? 1 : 0);
@@ -158,6 +160,29 @@
   std::printf("converged %d\n", network.Converged() ? 1 : 0);
 }
 
+/** Time until a version that one delegate of each domain has read is in force everywhere. */
+void
+MeasureConfig(int aNodes, std::uint64_t aSeed)
+{
+  constexpr Duration kFetchTime = std::chrono::milliseconds(24);
+  MemberNetwork network(aSeed);
+  network.AddNodes(aNodes, std::min(kDomains, aNodes));
+  network.ShareAllRecords();
+  network.FollowVersions(kFetchTime);
+  network.Run(std::chrono::seconds(12));
+  std::set<std::string> domains;
+  for (const auto& [id, node] : network.Nodes()) {
+    if (IsDelegate(node.state_) && domains.insert(node.identity_.domain_).second) {
+      network.SetVersion(id, 1);
+    }
+  }
+  const auto took = network.RunUntil(std::chrono::seconds(30),
+                                     [&] { return network.CountWithVersion(1) == aNodes; });
+  std::printf("%d nodes: version in force everywhere after %.1f s (-1: not within 30 s)\n",
+              aNodes,
+              took ? static_cast<double>(took->count()) / 1e6 : -1.0);
+}
+
 MemberRecord
 RecordOf(int aIndex)
 {
@@ -267,8 +292,8 @@
   const double start = ProcessorSeconds();
   constexpr int kChanges = 2000;
   for (int i = 0; i < kChanges; ++i) {
-    apply(
-      SetLimit{ "service-" + std::to_string(i % aServices), 1U + static_cast<unsigned>(i) % 99 });
+    const auto importance = static_cast<Importance>(i / aServices % 4);
+    apply(DeclareKind{ "service-" + std::to_string(i % aServices), { "kind-0", importance } });
   }
   const double took = ProcessorSeconds() - start;
   std::printf("%d services with %d kinds, %d declarations: heap %.0f KB; with %zu audit entries "
@@ -303,6 +328,8 @@
       number(1, 890), number(2, 10), number(3, 1), static_cast<std::uint64_t>(number(4, 5)));
   } else if (mode == "cold") {
     MeasureColdStart(number(1, 890), number(2, 120), static_cast<std::uint64_t>(number(3, 5)));
+  } else if (mode == "config") {
+    MeasureConfig(number(1, 890), static_cast<std::uint64_t>(number(2, 5)));
   } else if (mode == "node") {
     MeasureNode(number(1, 890));
   } else if (mode == "fold") {
@@ -310,7 +337,8 @@
   } else {
     std::fprintf(stderr,
                  "usage: measure-control traffic NODES SECONDS RESTARTS [SEED] | "
-                 "cold NODES SECONDS [SEED] | node NODES | fold SERVICES KINDS\n");
+                 "cold NODES SECONDS [SEED] | config NODES [SEED] | node NODES | "
+                 "fold SERVICES KINDS\n");
     return 2;
   }
   return 0;
