Merge groups of nodes that started from different seeds

Cause: seeds were probed only while a node knew no peer of its domain or no other domain. When nodes start together, two groups with members in all domains can form from different seeds; neither then has a reason to look for the other.

Announcements in the log hide the fault while the log service is up.

Change: every 5 s a node probes one of its seeds whose address is not that of a member. No datagram is sent when all seeds are members.

Digests are not skipped while there are requests to send.

--- a/packages/policy/FailureDetector.cpp
+++ b/packages/policy/FailureDetector.cpp
@@ -85,14 +85,33 @@
   }
 }
 
+std::vector<std::string>
+SeedsButSelf(const MembershipState& aState)
+{
+  std::vector<std::string> seeds = aState.seeds_;
+  std::erase(seeds, aState.self_.identity_.peerAddress_);
+  return seeds;
+}
+
+/** Seeds that are not the address of a member. Nodes that started with different seeds can form two
+ * groups that know nothing of each other. */
+std::vector<std::string>
+UnknownSeeds(const MembershipState& aState)
+{
+  std::vector<std::string> seeds = SeedsButSelf(aState);
+  for (const auto& [id, entry] : aState.members_) {
+    std::erase(seeds, entry.record_.identity_.peerAddress_);
+  }
+  return seeds;
+}
+
+/** Probes one of these seeds. */
 void
-ProbeSeed(MembershipTurn& aTurn)
+ProbeSeed(MembershipTurn& aTurn, const std::vector<std::string>& aSeeds)
 {
   MembershipState& state = aTurn.state_;
-  std::vector<std::string> seeds = state.seeds_;
-  std::erase(seeds, state.self_.identity_.peerAddress_);
-  if (!seeds.empty()) {
-    const std::string& seed = seeds[NextRandom(state) % seeds.size()];
+  if (!aSeeds.empty()) {
+    const std::string& seed = aSeeds[NextRandom(state) % aSeeds.size()];
     SendWithChanges(aTurn, seed, Probe{ state.nextNumber_++, {} }, &state.self_);
   }
 }
@@ -264,7 +283,7 @@
   if (aTurn.now_ >= state.nextProbeAt_) {
     state.nextProbeAt_ = aTurn.now_ + state.settings_.probeInterval_;
     if (OwnDomainPeers(state).empty() || !KnowsOtherDomain(state)) {
-      ProbeSeed(aTurn);
+      ProbeSeed(aTurn, SeedsButSelf(state));
     }
     ProbeNextPeer(aTurn);
     ProbeHints(aTurn);
@@ -272,6 +291,7 @@
   if (aTurn.now_ >= state.nextDeadProbeAt_) {
     state.nextDeadProbeAt_ = aTurn.now_ + kDeadProbeInterval;
     ProbeDeadMember(aTurn);
+    ProbeSeed(aTurn, UnknownSeeds(state));
   }
 }
 
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -96,7 +96,8 @@
 {
   MembershipState& state = aTurn.state_;
   for (const auto& [domain, reach] : state.domains_) {
-    if (HasAgreed(aTurn, reach, kDelegateDigestInterval)) {
+    // Requests for moves travel with the digests, so that one is sent while there are any.
+    if (state.moveRequests_ == 0 && HasAgreed(aTurn, reach, kDelegateDigestInterval)) {
       continue;
     }
     std::vector<NodeId> targets = DelegatesOf(state, domain);
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -156,7 +156,8 @@
 {
   MembershipSettings settings_;
   MemberRecord self_;
-  /** Addresses that are probed while no member is known. */
+  /** Addresses that are probed while no other domain or no own peer is known, and from time to time
+   * while they are not those of members. */
   std::vector<std::string> seeds_;
   std::map<NodeId, MemberEntry> members_;
   /** Failure domains other than the own one. */
--- a/packages/policy/tests/MembershipFailureTest.cpp
+++ b/packages/policy/tests/MembershipFailureTest.cpp
@@ -69,6 +69,20 @@
   }
 }
 
+/** Nodes that start together and reach different seeds first can form two groups, each with members
+ * in all domains, that know nothing of each other. */
+Test(membership_failure, groups_that_started_from_different_seeds_merge)
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    MemberNetwork network(seed);
+    network.AddNodes(13, 3);
+    cr_assert(
+      network.RunUntil(std::chrono::seconds(30), [&] { return network.Converged(); }).has_value(),
+      "seed %d",
+      static_cast<int>(seed));
+  }
+}
+
 Test(membership_failure, loss_of_datagrams_alone_kills_nobody)
 {
   MemberNetwork network = Started(13, 3, 5, { 15, 5, 20 });
