Bound the time left that a call may claim

Cause: decoders do not check ranges, so a duration in a damaged or wrong call reached the reducer and was added to the clock, which overflows. Ruled out: a check in the decoder; the bound is one of the inbound role's rules, as are the others. Before: the new test fails for the largest duration (the request is refused as too late). After: it passes.

--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -16,6 +16,10 @@
  * lost. Its answer is still wanted for repeats. */
 constexpr Duration kTicketRunGrace = std::chrono::seconds(60);
 
+/** Above any deadline that a caller can ask for. Decoders do not check ranges, and a damaged
+ * duration must not overflow the clock. */
+constexpr Duration kMaxRemaining = std::chrono::hours(1);
+
 void
 Send(ReduceContext& aContext, const Requester& aRequester, PeerMessage aMessage)
 {
@@ -312,7 +316,7 @@
   request.request_ = aCall.request_;
   request.phase_ = aPhase;
   request.requester_ = aRequester;
-  request.deadline_ = aContext.now_ + aCall.remaining_;
+  request.deadline_ = aContext.now_ + std::clamp(aCall.remaining_, Duration{ 0 }, kMaxRemaining);
   if (aPhase == InboundPhase::kJoined) {
     request.joinedTokens_ = aCall.lentTokens_;
   } else {
