Answer may-have-run to an invalid repeat of a ticket

Cause: a request that cannot be read is refused before the reducer, always with 'not-run'. Ruled out: passing unreadable requests to the reducer; only the ticket and the attempt number matter here, and both are in the head. Change: with a ticket and an attempt number other than 1 the verdict is 'may-have-run'; the status stays.

--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -22,7 +22,8 @@
 tl::unexpected<InvalidRequest>
 Invalid(std::uint16_t aStatus, std::string aSubject, std::string aMessage)
 {
-  return tl::unexpected(InvalidRequest{ aStatus, { std::move(aSubject), std::move(aMessage) } });
+  return tl::unexpected(
+    InvalidRequest{ aStatus, { std::move(aSubject), std::move(aMessage) }, Verdict::kNotRun });
 }
 
 bool
@@ -191,10 +192,8 @@
          "\n";
 }
 
-} // namespace
-
 tl::expected<CallerRequest, InvalidRequest>
-ParseCallerRequest(const HTTPRequest& aHead, std::string aBody)
+ReadCallerRequest(const HTTPRequest& aHead, std::string aBody)
 {
   CallerRequest request;
   request.method_ = aHead.getMethod();
@@ -213,6 +212,26 @@
   return request;
 }
 
+/** An attempt number that cannot be read counts as a repeat. */
+bool
+IsRepeatOfTicket(const HTTPRequest& aHead)
+{
+  return aHead.has(header::kTicket) && aHead.has(header::kAttempt) &&
+         ParseNumber(aHead.get(header::kAttempt)) != 1;
+}
+
+} // namespace
+
+tl::expected<CallerRequest, InvalidRequest>
+ParseCallerRequest(const HTTPRequest& aHead, std::string aBody)
+{
+  auto request = ReadCallerRequest(aHead, std::move(aBody));
+  if (!request && IsRepeatOfTicket(aHead)) {
+    request.error().verdict_ = Verdict::kMayHaveRun;
+  }
+  return request;
+}
+
 std::uint16_t
 StatusOf(const Refusal& aRefusal)
 {
@@ -260,13 +279,14 @@
 FormatInvalidRequest(const InvalidRequest& aInvalid, HTTPResponse& aHead)
 {
   SetStatus(aInvalid.status_, aHead);
-  aHead.set(header::kVerdict, std::string(ToString(Verdict::kNotRun)));
+  const std::string verdict(ToString(aInvalid.verdict_));
+  aHead.set(header::kVerdict, verdict);
   const Reason reason = aInvalid.status_ == HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE
                           ? Reason::kTooLarge
                           : Reason::kInvalidRequest;
   aHead.set(header::kReason, std::string(ToString(reason)));
   aHead.setContentType("text/plain");
-  return "not-run: " + aInvalid.error_.subject_ + ": " + aInvalid.error_.message_ + "\n";
+  return verdict + ": " + aInvalid.error_.subject_ + ": " + aInvalid.error_.message_ + "\n";
 }
 
 void
--- a/packages/wire/HttpMapping.h
+++ b/packages/wire/HttpMapping.h
@@ -32,11 +32,13 @@
 
 } // namespace header
 
-/** A request that is refused before it reaches the reducer; it has not run. */
+/** A request that is refused before it reaches the reducer; this attempt has not run. */
 struct InvalidRequest
 {
   std::uint16_t status_ = 400;
   UserError error_;
+  /** About the ticket when there is one: an earlier attempt under it may have run. */
+  Verdict verdict_ = Verdict::kNotRun;
 
   bool operator==(const InvalidRequest&) const = default;
 };
--- a/packages/wire/tests/HttpMappingTest.cpp
+++ b/packages/wire/tests/HttpMappingTest.cpp
@@ -128,13 +128,39 @@
 {
   for (const std::uint16_t status : { 400, 404, 405, 413, 431 }) {
     HTTPResponse head;
-    (void)FormatInvalidRequest({ status, { "body", "m" } }, head);
+    (void)FormatInvalidRequest({ status, { "body", "m" }, Verdict::kNotRun }, head);
     cr_assert_eq(head.getStatus(), status);
     cr_assert_eq(head.get(header::kVerdict), "not-run");
     cr_assert_eq(head.get(header::kReason), status == 413 ? "too-large" : "invalid-request");
   }
 }
 
+/** Guards against "not run" for a ticket whose earlier attempt may have run. */
+Test(http_mapping, invalid_repeat_of_a_ticket_may_have_run)
+{
+  struct Case
+  {
+    const char* attempt_;
+    bool hasTicket_;
+    Verdict verdict_;
+  };
+  for (const Case& entry : { Case{ "1", true, Verdict::kNotRun },
+                             Case{ "2", true, Verdict::kMayHaveRun },
+                             Case{ "x", true, Verdict::kMayHaveRun },
+                             Case{ "2", false, Verdict::kNotRun } }) {
+    auto request = MakeRequest(header::kDeadline, "0");
+    request.set(header::kAttempt, entry.attempt_);
+    if (entry.hasTicket_) {
+      request.set(header::kTicket, "anything");
+    }
+    const auto parsed = ParseCallerRequest(request, "");
+    cr_assert_not(parsed.has_value());
+    HTTPResponse head;
+    (void)FormatInvalidRequest(parsed.error(), head);
+    cr_assert_eq(head.get(header::kVerdict), ToString(entry.verdict_), "%s", entry.attempt_);
+  }
+}
+
 Test(http_mapping, numbers_are_digits_within_their_bounds)
 {
   struct Case
