Move the ends of inbound requests out of Inbound.cpp

Change: InboundReplies has what requesters are told and how requests are removed; both functions share the loop. No behaviour changes; golden files are the same.

--- a/packages/policy/Inbound.h
+++ b/packages/policy/Inbound.h
@@ -45,9 +45,4 @@
 void
 NoteRefusedDeeperCall(NodeState& aState, RequestId aParent, DeeperCall aCall);
 
-/** The load report that rides on every answer to a request of the kind. Its level is also that of
- * the deeper services that the kind needs, so that entries refuse what would fail there. */
-LoadReport
-MakeLoadReport(NodeState& aState, const ReduceContext& aContext, const std::string& aKind);
-
 } // namespace fulmarway
--- /dev/null
+++ b/packages/policy/InboundReplies.cpp
@@ -0,0 +1,218 @@
+#include "policy/InboundReplies.h"
+
+#include "policy/Outbound.h"
+#include "policy/RouteCandidates.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+namespace {
+
+/** Bodies above this are sent in parts, so that small answers are not held up behind them. */
+constexpr std::size_t kAnswerPartBytes = 16U << 10;
+
+void
+Send(ReduceContext& aContext, const Requester& aRequester, PeerMessage aMessage)
+{
+  if (aRequester.link_ == LinkId{}) {
+    aContext.local_.push_back({ std::move(aMessage) });
+    return;
+  }
+  aContext.effects_.push_back(SendToLink{ aRequester.link_, std::move(aMessage) });
+}
+
+void
+EndAllRefused(NodeState& aState,
+              ReduceContext& aContext,
+              const Waiters& aWaiters,
+              const Refusal& aRefusal)
+{
+  for (const RequestId waiter : aWaiters) {
+    EndRefused(aState, aContext, waiter, aRefusal);
+  }
+}
+
+} // namespace
+
+LoadReport
+MakeLoadReport(NodeState& aState, const ReduceContext& aContext, const std::string& aKind)
+{
+  AdmissionLevel level = LevelOf(aState.admission_);
+  for (const DeeperCall& call : RequiredCalls(aState.inbound_.dependencies_, StableHash(aKind))) {
+    level = std::min(level,
+                     ServiceLevel(aState.routing_,
+                                  CandidatesFor(aState, call.service_),
+                                  StableHash(call.kind_),
+                                  aContext.now_));
+  }
+  return { level,
+           LimitOf(aState.admission_),
+           RunningCount(aState.admission_),
+           QueuedCount(aState.admission_) };
+}
+
+void
+SendAnswer(ReduceContext& aContext, const Requester& aRequester, CallAnswer aAnswer)
+{
+  aAnswer.bodyBytes_ = aAnswer.answer_.body_.size();
+  if (aRequester.link_ == LinkId{} || aAnswer.bodyBytes_ <= kAnswerPartBytes) {
+    Send(aContext, aRequester, std::move(aAnswer));
+    return;
+  }
+  const AttemptId attempt = aAnswer.attempt_;
+  const std::string body = std::move(aAnswer.answer_.body_);
+  aAnswer.answer_.body_ = body.substr(0, kAnswerPartBytes);
+  Send(aContext, aRequester, std::move(aAnswer));
+  for (std::size_t offset = kAnswerPartBytes; offset < body.size(); offset += kAnswerPartBytes) {
+    Send(aContext,
+         aRequester,
+         CallAnswerPart{ attempt, offset, body.substr(offset, kAnswerPartBytes) });
+  }
+}
+
+void
+SendRefusal(NodeState& aState,
+            ReduceContext& aContext,
+            const Requester& aRequester,
+            const std::string& aKind,
+            Refusal aRefusal,
+            std::uint32_t aReturnedTokens,
+            NodeId aSuccessor)
+{
+  if (aRefusal.verdict_ == Verdict::kNotRun && !aRefusal.retryAfter_) {
+    aRefusal.retryAfter_ = aContext.random_.Jitter(RetryAfterHint(aState.admission_));
+  }
+  Send(aContext,
+       aRequester,
+       CallRefused{ aRequester.attempt_,
+                    aRefusal,
+                    aReturnedTokens,
+                    aSuccessor,
+                    MakeLoadReport(aState, aContext, aKind) });
+}
+
+void
+CountInboundRefusal(NodeState& aState,
+                    ReduceContext& aContext,
+                    const Request& aRequest,
+                    const Refusal& aRefusal)
+{
+  const bool isDeclared = FindKind(ConfigOf(aState), aRequest.service_, aRequest.kind_) != nullptr;
+  NoteRefusal(aState.counters_,
+              { RefusalSide::kInbound,
+                isDeclared ? aRequest.service_ : "",
+                isDeclared ? aRequest.kind_ : "",
+                aRequest.importance_,
+                aRefusal.verdict_,
+                aRefusal.reason_ },
+              aRequest.clickId_,
+              aContext.now_);
+}
+
+std::optional<RemovedRequest>
+RemoveRequest(NodeState& aState, RequestId aId)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return std::nullopt;
+  }
+  RemovedRequest removed{ std::move(found->second), 0 };
+  aState.inbound_.requests_.erase(found);
+  if (removed.request_.requester_) {
+    aState.inbound_.byRequester_.erase(*removed.request_.requester_);
+  }
+  if (removed.request_.phase_ == InboundPhase::kJoined) {
+    removed.tokens_ = removed.request_.joinedTokens_;
+  } else {
+    removed.tokens_ =
+      Apply(aState.budget_, ClosePool(std::move(aState.budget_), PoolId{ aId.value_ }));
+  }
+  return removed;
+}
+
+void
+EndRefused(NodeState& aState, ReduceContext& aContext, RequestId aId, Refusal aRefusal)
+{
+  const auto removed = RemoveRequest(aState, aId);
+  if (!removed) {
+    return;
+  }
+  CountInboundRefusal(aState, aContext, removed->request_.request_, aRefusal);
+  CancelCallsOfParent(aState, aContext, aId);
+  if (removed->request_.requester_) {
+    SendRefusal(aState,
+                aContext,
+                *removed->request_.requester_,
+                removed->request_.request_.kind_,
+                aRefusal,
+                removed->tokens_);
+  }
+}
+
+void
+EndAnswered(NodeState& aState, ReduceContext& aContext, RequestId aId, const Answer& aAnswer)
+{
+  const auto removed = RemoveRequest(aState, aId);
+  if (!removed) {
+    return;
+  }
+  CancelCallsOfParent(aState, aContext, aId);
+  if (removed->request_.requester_) {
+    const Requester& requester = *removed->request_.requester_;
+    SendAnswer(aContext,
+               requester,
+               { requester.attempt_,
+                 aAnswer,
+                 0,
+                 removed->tokens_,
+                 MakeLoadReport(aState, aContext, removed->request_.request_.kind_) });
+  }
+}
+
+void
+EndNotRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  Waiters waiters{ aId };
+  if (const auto& ticket = found->second.request_.ticket_) {
+    waiters = Apply(aState.tickets_, CloseTicket(std::move(aState.tickets_), *ticket, aReason));
+  }
+  EndAllRefused(aState, aContext, waiters, { Verdict::kNotRun, aReason, std::nullopt });
+}
+
+void
+EndStartedNotRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  if (const auto& ticket = found->second.request_.ticket_) {
+    aState.tickets_ = RevertStart(std::move(aState.tickets_), *ticket);
+  }
+  EndNotRun(aState, aContext, aId, aReason);
+  // The request itself is no waiter when its requester went away.
+  EndRefused(aState, aContext, aId, { Verdict::kNotRun, aReason, std::nullopt });
+}
+
+void
+EndMayHaveRun(NodeState& aState, ReduceContext& aContext, RequestId aId, Reason aReason)
+{
+  const auto found = aState.inbound_.requests_.find(aId);
+  if (found == aState.inbound_.requests_.end()) {
+    return;
+  }
+  Waiters waiters;
+  if (const auto& ticket = found->second.request_.ticket_) {
+    waiters = Apply(aState.tickets_, AbandonTicket(std::move(aState.tickets_), *ticket, aReason));
+  }
+  // The request itself is no waiter when its requester went away.
+  waiters.push_back(aId);
+  EndAllRefused(aState, aContext, waiters, { Verdict::kMayHaveRun, aReason, std::nullopt });
+}
+
+} // namespace fulmarway
--- a/packages/policy/tests/CallDependenciesTest.cpp
+++ b/packages/policy/tests/CallDependenciesTest.cpp
@@ -3,7 +3,7 @@
  * early refusals of requests that can do without the deeper service.
  */
 #include "policy/CallDependencies.h"
-#include "policy/Inbound.h"
+#include "policy/InboundReplies.h"
 
 #include <criterion/criterion.h>
 
