Remove the last raise step from the state of the admission level

Cause: since the raise is worked out from the free slots, the step of the window before is not read any more, but it was still kept, reset and described as doubling. Change: the step is local to Raise(). Behaviour is the same.

--- a/packages/policy/AdmissionLevelControl.cpp
+++ b/packages/policy/AdmissionLevelControl.cpp
@@ -51,7 +51,6 @@
     admitted -= aControl.arrivals_.at(level);
   }
   aControl.level_.admitBelow_ = level;
-  aControl.raiseStep_ = 0;
 }
 
 /** Requests that aLimit slots can serve in a window; unbounded while the service time is unknown.
@@ -84,13 +83,9 @@
 void
 Raise(AdmissionLevelControl& aControl, bool aNearlyEmpty, double aCapacity)
 {
-  aControl.raiseStep_ = 1;
-  if (aNearlyEmpty) {
-    const double ranks = RanksForFreeSlots(aControl, aCapacity);
-    aControl.raiseStep_ = std::clamp(
-      static_cast<std::uint32_t>(std::min<double>(ranks, kMaxRaiseStep)), 1U, kMaxRaiseStep);
-  }
-  const std::uint32_t raised = aControl.level_.admitBelow_ + aControl.raiseStep_;
+  const double ranks = aNearlyEmpty ? RanksForFreeSlots(aControl, aCapacity) : 1;
+  const auto step = static_cast<std::uint32_t>(std::clamp<double>(ranks, 1, kMaxRaiseStep));
+  const std::uint32_t raised = aControl.level_.admitBelow_ + step;
   aControl.level_.admitBelow_ =
     static_cast<std::uint16_t>(std::min<std::uint32_t>(raised, kHighestAdmissionLevel.admitBelow_));
 }
--- a/packages/policy/AdmissionLevelControl.h
+++ b/packages/policy/AdmissionLevelControl.h
@@ -29,8 +29,6 @@
   double lastQueued_ = 0;
   /** A request got no place in the queue in this window. */
   bool overflowed_ = false;
-  /** Ranks by which the level was raised last; doubles while the queue stays empty. */
-  std::uint32_t raiseStep_ = 0;
 
   bool operator==(const AdmissionLevelControl&) const = default;
 };
