Use one parser for whole numbers

Cause: wire/Number.h repeated what model/Ids.cpp, model/Address.cpp and wire/ControlJson.cpp already did with std::from_chars, each with its own check of the end. Change: ParseNumber() moves to model, where all packages can use it, and the three places call it. The numbers with a unit or a typed range in ctl/Parser.cpp keep theirs. Behaviour is the same.

--- a/packages/model/Address.cpp
+++ b/packages/model/Address.cpp
@@ -1,8 +1,9 @@
 #include "model/Address.h"
 
+#include "model/Number.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
-#include <charconv>
 #include <cstdint>
 #include <string>
 
@@ -26,10 +27,8 @@
 bool
 IsPort(std::string_view aText)
 {
-  std::uint32_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [parsedTo, error] = std::from_chars(aText.data(), end, port);
-  return error == std::errc{} && parsedTo == end && aText.front() != '0' && port <= kMaxPort;
+  const auto port = ParseNumber(aText);
+  return port && aText.front() != '0' && *port <= kMaxPort;
 }
 
 } // namespace
--- a/packages/model/Ids.cpp
+++ b/packages/model/Ids.cpp
@@ -1,6 +1,7 @@
 #include "model/Ids.h"
 
-#include <charconv>
+#include "model/Number.h"
+
 #include <cstdio>
 #include <xxhash.h>
 
@@ -44,13 +45,7 @@
   if (aText.empty() || aText.size() > kHexDigits64) {
     return std::nullopt;
   }
-  std::uint64_t value = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [parsedTo, error] = std::from_chars(aText.data(), end, value, 16);
-  if (error != std::errc{} || parsedTo != end) {
-    return std::nullopt;
-  }
-  return value;
+  return ParseNumber(aText, 16);
 }
 
 std::optional<Bits128>
--- a/packages/node/AdminApi.cpp
+++ b/packages/node/AdminApi.cpp
@@ -1,9 +1,9 @@
 #include "node/AdminApi.h"
 
 #include "ctl/Parser.h"
+#include "model/Number.h"
 #include "node/AdminDocuments.h"
 #include "wire/ControlJson.h"
-#include "wire/Number.h"
 
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -1,7 +1,7 @@
 #include "node/Settings.h"
 
 #include "model/Address.h"
-#include "wire/Number.h"
+#include "model/Number.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/platform/LogProtocol.cpp
+++ b/packages/platform/LogProtocol.cpp
@@ -1,7 +1,7 @@
 #include "platform/LogProtocol.h"
 
+#include "model/Number.h"
 #include "wire/Frame.h"
-#include "wire/Number.h"
 
 #include <limits>
 #include <optional>
--- a/packages/wire/ControlJson.cpp
+++ b/packages/wire/ControlJson.cpp
@@ -1,5 +1,6 @@
 #include "wire/ControlJson.h"
 
+#include "model/Number.h"
 #include "wire/ControlMembers.h"
 
 #include <Poco/JSON/Array.h>
@@ -7,7 +8,6 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/JSON/Stringifier.h>
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <sstream>
 #include <type_traits>
@@ -248,13 +248,7 @@
     if (aVar.isBoolean() || !aVar.isInteger()) {
       return std::nullopt;
     }
-    const std::string text = aVar.convert<std::string>();
-    std::uint64_t number = 0;
-    const auto [parsedTo, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc{} || parsedTo != text.data() + text.size()) {
-      return std::nullopt;
-    }
-    return number;
+    return ParseNumber(aVar.convert<std::string>());
   }
 
   template<typename Doc>
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -1,6 +1,6 @@
 #include "wire/HttpFraming.h"
 
-#include "wire/Number.h"
+#include "model/Number.h"
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -1,7 +1,7 @@
 #include "wire/HttpMapping.h"
 
 #include "model/Address.h"
-#include "wire/Number.h"
+#include "model/Number.h"
 
 #include <algorithm>
 #include <cmath>
