--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -2,12 +2,14 @@
  * The node process.
  */
 #include "node/Node.h"
+#include "platform/Interface.h"
 
 #include <Poco/Exception.h>
 #include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <iostream>
 #include <random>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -38,11 +40,14 @@
   return value == nullptr ? std::nullopt : std::optional<std::string>(value);
 }
 
+/** Counts the time for which the VM was suspended, so that deadlines pass meanwhile. */
 Instant
 ReadMonotonicClock()
 {
-  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(sinceStart));
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return Instant(std::chrono::seconds(time.tv_sec) +
+                 std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 std::uint64_t
@@ -64,7 +69,7 @@
 void
 SetUpLogging(const std::string& aLevel)
 {
-  auto logger = spdlog::stderr_logger_st("fulmarwayd");
+  auto logger = spdlog::stdout_logger_st("fulmarwayd");
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
   logger->set_level(spdlog::level::from_str(aLevel));
   logger->flush_on(spdlog::level::info);
@@ -79,7 +84,10 @@
   std::signal(SIGTERM, HandleStopSignal);
   std::signal(SIGINT, HandleStopSignal);
   try {
-    Node node(aSettings, { ReadMonotonicClock, ReadWallClockMs, ReadEntropy });
+    const bool isOnPlatform = aSettings.interface_ == kPlatformInterface;
+    Node node(aSettings,
+              isOnPlatform ? platform::MakeInterface() : OwnInterface(),
+              { ReadMonotonicClock, ReadWallClockMs, ReadEntropy });
     spdlog::info("event=started service={} domain={} peer_address={}",
                  aSettings.node_.identity_.service_,
                  aSettings.node_.identity_.domain_,
--- a/packages/platform/LogProtocol.cpp
+++ b/packages/logservice/LogProtocol.cpp
@@ -1,4 +1,4 @@
-#include "platform/LogProtocol.h"
+#include "logservice/LogProtocol.h"
 
 #include "model/Number.h"
 #include "wire/Frame.h"
--- a/packages/platform/tests/LogProtocolTest.cpp
+++ b/packages/logservice/tests/LogProtocolTest.cpp
@@ -3,7 +3,7 @@
  * as done, records that are skipped, applied out of order or at another offset, and answers that
  * stop the reader.
  */
-#include "platform/LogProtocol.h"
+#include "logservice/LogProtocol.h"
 
 #include "wire/Frame.h"
 
--- a/packages/model/Call.h
+++ b/packages/model/Call.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fulmarway {
 
@@ -20,6 +21,29 @@
 inline constexpr std::size_t kMaxBodyBytes = 4U << 20;
 inline constexpr std::size_t kMaxClickIdBytes = 64;
 
+/** A header field that is passed on unchanged. */
+struct HeaderField
+{
+  std::string name_;
+  std::string value_;
+
+  bool operator==(const HeaderField&) const = default;
+};
+
+/** What a request that a route selected by host and path carries to its backend server unchanged.
+ */
+struct RoutedPart
+{
+  std::string host_;
+  /** Path and query as the caller sent them. */
+  std::string uri_;
+  std::vector<HeaderField> headers_;
+  /** Service of the VM on which the request began. */
+  std::string originService_;
+
+  bool operator==(const RoutedPart&) const = default;
+};
+
 /** What is asked, independent of attempts. */
 struct Request
 {
@@ -36,6 +60,8 @@
   std::optional<Ticket> ticket_;
   /** Number of calls between the caller and this one; 0 for the caller's own. */
   std::uint8_t depth_ = 0;
+  /** Set for a request that a route selected; it needs no ticket. */
+  std::optional<RoutedPart> routed_;
 
   bool operator==(const Request&) const = default;
 };
@@ -46,6 +72,8 @@
   std::uint16_t status_ = 200;
   std::string contentType_;
   std::string body_;
+  /** Header fields that are passed on to the caller of a routed request. */
+  std::vector<HeaderField> headers_;
 
   bool operator==(const Answer&) const = default;
 };
--- a/packages/model/CallerRequest.h
+++ b/packages/model/CallerRequest.h
@@ -39,6 +39,10 @@
   std::string ticketForKind_;
   /** Only a ticket is wanted, see GET /v1/ticket. */
   bool ticketOnly_ = false;
+  /** Set when a route has to be selected by host and path; service and kind are then empty. */
+  std::optional<RoutedPart> routed_;
+  /** Sent by the backend server of this VM. */
+  bool fromBackend_ = false;
 
   bool operator==(const CallerRequest&) const = default;
 };
@@ -62,6 +66,8 @@
   Request request_;
   /** Time left until the deadline. */
   Duration remaining_{ 0 };
+  /** Instance of the backend server that may run the request; empty when it names none. */
+  std::string instance_;
 
   bool operator==(const BackendRequest&) const = default;
 };
--- a/packages/model/Config.h
+++ b/packages/model/Config.h
@@ -51,6 +51,33 @@
   auto operator<=>(const ServiceSpec&) const = default;
 };
 
+/** A service that takes a share of the requests of a route. */
+struct RoutePart
+{
+  std::string service_;
+  /** Share in proportion to the weights of the other parts. */
+  std::uint32_t weight_ = 1;
+
+  auto operator<=>(const RoutePart&) const = default;
+};
+
+/** Requests of one host below one path prefix. */
+struct RouteSpec
+{
+  std::string host_;
+  /** Begins and ends with a slash. */
+  std::string prefix_;
+  /** The kind of these requests; its deadline is the longest time that a request is kept waiting.
+   */
+  KindSpec kind_;
+  /** Latency within which an answer has its full value to the caller. */
+  Duration targetLatency_ = std::chrono::seconds(1);
+  /** At least one. */
+  std::vector<RoutePart> parts_;
+
+  auto operator<=>(const RouteSpec&) const = default;
+};
+
 /** The configuration in force. */
 struct Configuration
 {
@@ -59,6 +86,8 @@
   std::map<std::string, ServiceSpec> services_;
   /** Nodes that an operator drains, by peer address. */
   std::set<std::string> drained_;
+  /** Ordered by host, then prefix. */
+  std::vector<RouteSpec> routes_;
 
   auto operator<=>(const Configuration&) const = default;
 };
--- a/packages/model/Verdict.cpp
+++ b/packages/model/Verdict.cpp
@@ -31,6 +31,8 @@
   "repeat-limit",
   "cancelled",
   "too-deep",
+  "no-configuration",
+  "refused-by-backend-server",
   "answer-not-kept",
 };
 
--- a/packages/model/Verdict.h
+++ b/packages/model/Verdict.h
@@ -49,6 +49,10 @@
   kRepeatLimit,
   kCancelled,
   kTooDeep,
+  /** The node knows no configuration yet. */
+  kNoConfiguration,
+  /** The backend server stated that it did not run the request. */
+  kRefusedByBackend,
   kAnswerNotKept,
 };
 
--- a/packages/node/AdminApi.cpp
+++ b/packages/node/AdminApi.cpp
@@ -52,6 +52,9 @@
   std::string problem;
   if (ConfigOf(aState).version_ == 0) {
     problem = "no configuration";
+  } else if (aState.settings_.usesStore_) {
+    // Callers are served through other nodes while the own backend server is away.
+    problem = aState.lifecycle_.stopRequested_ ? "stopping" : "";
   } else if (!aState.lifecycle_.backendHealthy_) {
     problem = "backend server does not answer";
   } else if (IsDraining(aState)) {
--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -4,6 +4,17 @@
 
 namespace fulmarway {
 
+namespace {
+
+/** Whether the answer names another request than the expected one. */
+bool
+IsForeign(const std::optional<ExpectedEcho>& aEcho, const Poco::Net::HTTPResponse& aHead)
+{
+  return aEcho && aHead.has(aEcho->name_) && aHead.get(aEcho->name_) != aEcho->value_;
+}
+
+} // namespace
+
 HttpClient::HttpClient(const HttpClientSettings& aSettings, Poller& aPoller)
   : settings_(aSettings)
   , poller_(aPoller)
@@ -14,7 +25,7 @@
 HttpClient::Connect()
 {
   const std::uint64_t id = nextId_++;
-  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, {} };
+  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, false, {}, {} };
   poller_.Add({ settings_.role_, id }, connection.channel_.Socket());
   connections_.emplace(id, std::move(connection));
   return id;
@@ -36,9 +47,12 @@
                  Poco::Net::HTTPRequest& aHead,
                  std::string_view aBody,
                  Instant aNow,
-                 Instant aDeadline)
+                 Instant aDeadline,
+                 std::optional<ExpectedEcho> aEcho)
 {
-  aHead.setHost(settings_.address_.host().toString(), settings_.address_.port());
+  if (!aHead.has(Poco::Net::HTTPRequest::HOST)) {
+    aHead.setHost(settings_.address_.host().toString(), settings_.address_.port());
+  }
   aHead.setKeepAlive(true);
   std::uint64_t id = 0;
   try {
@@ -52,6 +66,7 @@
   connection.token_ = aToken;
   connection.writtenBefore_ = connection.channel_.BytesWritten();
   connection.deadline_ = aDeadline;
+  connection.echo_ = std::move(aEcho);
   byToken_.insert_or_assign(aToken, id);
   connection.channel_.Queue(FormatHttp(aHead, aBody));
   if (connection.channel_.Flush() == ChannelStatus::kClosed) {
@@ -113,6 +128,10 @@
     if (connection.token_) {
       TakeResponse(id, aNow);
     }
+    if (status == ChannelStatus::kClosed && connections_.contains(id) && connection.token_ &&
+        connection.channel_.EndedInOrder()) {
+      TakeLastResponse(id);
+    }
     // An idle connection has nothing to say; the server closes it or breaks the protocol.
     if (connections_.contains(id) && (status == ChannelStatus::kClosed || !connection.token_)) {
       if (status == ChannelStatus::kClosed || !connection.input_.empty()) {
@@ -131,6 +150,10 @@
 {
   Connection& connection = connections_.at(aId);
   auto taken = TakeHttpResponse(connection.input_, settings_.maxBodyBytes_);
+  while (taken && *taken && IsForeign(connection.echo_, (*taken)->head_)) {
+    connection.sentForeignAnswer_ = true;
+    taken = TakeHttpResponse(connection.input_, settings_.maxBodyBytes_);
+  }
   if (!taken) {
     Fail(aId);
     return;
@@ -139,16 +162,49 @@
     return;
   }
   const bool keepsAlive = (*taken)->head_.getKeepAlive() && connection.input_.empty() &&
-                          connection.channel_.PendingBytes() == 0;
-  results_.push_back({ *connection.token_, ExchangeOutcome::kAnswered, std::move(**taken) });
-  byToken_.erase(*connection.token_);
-  connection.token_.reset();
+                          connection.channel_.PendingBytes() == 0 && !connection.sentForeignAnswer_;
+  AddAnswer(connection, std::move(**taken));
   connection.idleSince_ = aNow;
   if (!keepsAlive) {
     Close(aId);
   }
 }
 
+void
+HttpClient::TakeLastResponse(std::uint64_t aId)
+{
+  Connection& connection = connections_.at(aId);
+  auto taken = TakeLastHttpResponse(connection.input_, settings_.maxBodyBytes_);
+  if (!taken || IsForeign(connection.echo_, taken->head_)) {
+    Fail(aId);
+    return;
+  }
+  AddAnswer(connection, std::move(*taken));
+  Close(aId);
+}
+
+void
+HttpClient::AddAnswer(Connection& aConnection, HttpResponseMessage aMessage)
+{
+  results_.push_back({ *aConnection.token_, ExchangeOutcome::kAnswered, std::move(aMessage) });
+  byToken_.erase(*aConnection.token_);
+  aConnection.token_.reset();
+}
+
+void
+HttpClient::CloseIdle()
+{
+  std::vector<std::uint64_t> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection.token_) {
+      idle.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : idle) {
+    Close(id);
+  }
+}
+
 void
 HttpClient::Advance(Instant aNow)
 {
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -41,6 +41,16 @@
   Duration maxIdle_ = std::chrono::seconds(3);
 };
 
+/** A header field that the answer repeats from its request. An answer with another value belongs to
+ * an earlier request on the connection. */
+struct ExpectedEcho
+{
+  std::string name_;
+  std::string value_;
+
+  bool operator==(const ExpectedEcho&) const = default;
+};
+
 class HttpClient
 {
 public:
@@ -51,13 +61,17 @@
             Poco::Net::HTTPRequest& aHead,
             std::string_view aBody,
             Instant aNow,
-            Instant aDeadline);
+            Instant aDeadline,
+            std::optional<ExpectedEcho> aEcho = std::nullopt);
 
   /** Closes the connection of a request; no result follows. */
   void Cancel(std::uint64_t aToken);
 
   void HandleReady(const ReadySocket& aReady, Instant aNow);
 
+  /** Closes the connections without a request, for example when another process has the address. */
+  void CloseIdle();
+
   /** Ends requests whose deadline has passed and closes idle connections. */
   void Advance(Instant aNow);
 
@@ -73,6 +87,9 @@
     std::optional<std::uint64_t> token_;
     /** Bytes that the channel had written before the current request. */
     std::uint64_t writtenBefore_ = 0;
+    std::optional<ExpectedEcho> echo_ = {};
+    /** An answer to an earlier request came late; the connection is closed after this request. */
+    bool sentForeignAnswer_ = false;
     Instant deadline_;
     Instant idleSince_;
   };
@@ -83,6 +100,9 @@
   /** Ends the current request without an answer and closes the connection. */
   void Fail(std::uint64_t aId);
   void TakeResponse(std::uint64_t aId, Instant aNow);
+  /** The server closed the connection in order: what is left may be an answer without a length. */
+  void TakeLastResponse(std::uint64_t aId);
+  void AddAnswer(Connection& aConnection, HttpResponseMessage aMessage);
 
   HttpClientSettings settings_;
   Poller& poller_;
--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -129,7 +129,7 @@
   }
   const ExchangeId exchange{ nextId_++ };
   connection.exchange_ = exchange;
-  connection.keepAlive_ = (*taken)->head_.getKeepAlive() && accepting_;
+  connection.keepAlive_ = (*taken)->head_.getKeepAlive();
   connection.isHead_ = (*taken)->head_.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
   exchanges_.emplace(exchange, aId);
   aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**taken) });
@@ -151,7 +151,7 @@
   Connection& connection = connections_.at(id);
   connection.exchange_.reset();
   connection.lastUsedAt_ = aNow;
-  connection.closing_ = !connection.keepAlive_ || !accepting_;
+  connection.closing_ = !connection.keepAlive_ || !accepting_ || closesAfterReply_;
   aHead.setKeepAlive(!connection.closing_);
   std::string bytes = FormatHttp(aHead, aBody);
   if (connection.isHead_) {
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -61,6 +61,9 @@
                          std::string_view aBody,
                          Instant aNow);
 
+  /** Open connections end after their next reply; new ones are still taken. */
+  void CloseAfterReplies() { closesAfterReply_ = true; }
+
   /** Closes the listener; open connections end after their next reply. */
   void StopAccepting();
 
@@ -104,6 +107,7 @@
   Poller& poller_;
   Poco::Net::ServerSocket listener_;
   bool accepting_ = true;
+  bool closesAfterReply_ = false;
   std::uint64_t nextId_ = 1;
   std::unordered_map<std::uint64_t, Connection> connections_;
   std::unordered_map<ExchangeId, std::uint64_t> exchanges_;
--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -14,6 +14,8 @@
 struct LoopCounters
 {
   std::uint64_t invalidRequests_ = 0;
+  /** Reports of the backend server that could not be read. */
+  std::uint64_t invalidReports_ = 0;
   std::uint64_t invalidPeerMessages_ = 0;
   std::uint64_t invalidDatagrams_ = 0;
   std::uint64_t undecodableLogRecords_ = 0;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,11 +1,12 @@
 #include "node/Node.h"
 
-#include "platform/LogProtocol.h"
+#include "logservice/LogProtocol.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
 #include <Poco/Exception.h>
 #include <array>
+#include <spdlog/spdlog.h>
 
 namespace fulmarway {
 
@@ -18,6 +19,8 @@
 /** A snapshot of the configuration with its audit trail at the target size fits. */
 constexpr std::size_t kMaxLogBodyBytes = 16U << 20;
 constexpr int kMaxDatagramsInTurn = 256;
+/** One backend server reports, on a few connections at most. */
+constexpr std::size_t kMaxReportConnections = 64;
 
 Poco::Net::HTTPResponse
 MakeResponseHead()
@@ -25,19 +28,6 @@
   return { Poco::Net::HTTPMessage::HTTP_1_1, Poco::Net::HTTPResponse::HTTP_OK };
 }
 
-Answer
-MakeAnswer(HttpResponseMessage aMessage)
-{
-  Answer answer;
-  answer.status_ = static_cast<std::uint16_t>(aMessage.head_.getStatus());
-  if (const std::string& type = aMessage.head_.getContentType();
-      type != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE) {
-    answer.contentType_ = type;
-  }
-  answer.body_ = std::move(aMessage.body_);
-  return answer;
-}
-
 AppendResult
 AppendResultOf(const HttpResult& aResult)
 {
@@ -70,8 +60,9 @@
 
 } // namespace
 
-Node::Node(const ProcessSettings& aSettings, NodeClock aClock)
+Node::Node(const ProcessSettings& aSettings, NodeInterface aInterface, NodeClock aClock)
   : settings_(aSettings)
+  , interface_(std::move(aInterface))
   , clock_(std::move(aClock))
   , now_(clock_.now_())
   , state_(MakeNodeState(WithRun(aSettings.node_, clock_), now_))
@@ -98,6 +89,19 @@
       HttpClientSettings{ *aSettings.logService_, SocketRole::kLogConnection, kMaxLogBodyBytes },
       poller_);
   }
+  if (interface_.store_ && aSettings.store_) {
+    store_.emplace(
+      HttpClientSettings{ *aSettings.store_, SocketRole::kStoreConnection, kMaxLogBodyBytes },
+      poller_);
+  }
+  if (interface_.reports_ && aSettings.reportListen_) {
+    reports_.emplace(HttpServerSettings{ *aSettings.reportListen_,
+                                         SocketRole::kReportListener,
+                                         SocketRole::kReportConnection,
+                                         kMaxReportConnections,
+                                         kMaxAdminBodyBytes },
+                     poller_);
+  }
   gossip_.setBlocking(false);
   poller_.Add({ SocketRole::kGossip, 0 }, gossip_);
 }
@@ -125,6 +129,7 @@
     CollectPeerEvents();
     CollectBackendResults();
     CollectLogResults();
+    CollectStoreResults();
     DrainQueue();
   }
   const Instant flushUntil = now_ + kExitFlushTime;
@@ -161,6 +166,7 @@
     CollectPeerEvents();
     CollectBackendResults();
     CollectLogResults();
+    CollectStoreResults();
   }
 }
 
@@ -173,9 +179,16 @@
   if (log_) {
     log_->Advance(now_);
   }
+  if (store_) {
+    store_->Advance(now_);
+  }
   callers_.CloseIdle(now_);
   admin_.CloseIdle(now_);
-  CheckBackend();
+  if (reports_) {
+    reports_->CloseIdle(now_);
+  } else {
+    CheckBackend();
+  }
   Dispatch(Tick{});
 }
 
@@ -211,6 +224,15 @@
     case SocketRole::kLogConnection:
       log_->HandleReady(aReady, now_);
       break;
+    case SocketRole::kReportListener:
+      reports_->Accept(now_);
+      break;
+    case SocketRole::kReportConnection:
+      HandleReportEvents(reports_->HandleReady(aReady, now_));
+      break;
+    case SocketRole::kStoreConnection:
+      store_->HandleReady(aReady, now_);
+      break;
     case SocketRole::kGossip:
       ReadGossip();
       break;
@@ -225,15 +247,17 @@
     queue_.push_back(CallerDisconnected{ exchange });
   }
   for (ArrivedRequest& arrived : aEvents.requests_) {
-    auto request = ParseCallerRequest(arrived.message_.head_, std::move(arrived.message_.body_));
+    auto request =
+      interface_.calls_.parseRequest_(arrived.message_.head_, std::move(arrived.message_.body_));
     if (!request) {
       ++counters_.invalidRequests_;
       Poco::Net::HTTPResponse head = MakeResponseHead();
-      const std::string body = FormatInvalidRequest(request.error(), head);
+      const std::string body = interface_.calls_.formatInvalid_(request.error(), head);
       HandleCallerEvents(callers_.Reply(arrived.exchange_, head, body, now_));
       continue;
     }
     request->callerAddress_ = arrived.peer_;
+    request->fromBackend_ = arrived.peer_ == settings_.backend_.host().toString();
     queue_.push_back(CallerRequestArrived{ arrived.exchange_, std::move(*request) });
   }
 }
@@ -316,9 +340,16 @@
       queue_.push_back(BackendFailed{ id, result.outcome_ == ExchangeOutcome::kLost });
       continue;
     }
-    NoteHealth(NoteBackendAnswer(health_, now_));
-    const bool isRefused = IsRefusedByBackend(result.response_->head_);
-    queue_.push_back(BackendAnswered{ id, MakeAnswer(std::move(*result.response_)), isRefused });
+    if (!reports_) {
+      NoteHealth(NoteBackendAnswer(health_, now_));
+    }
+    const bool isRefused = interface_.calls_.isRefusedByBackend_(result.response_->head_);
+    auto answer = interface_.calls_.makeAnswer_(std::move(*result.response_));
+    if (answer) {
+      queue_.push_back(BackendAnswered{ id, std::move(*answer), isRefused });
+    } else {
+      queue_.push_back(BackendFailed{ id, true });
+    }
   }
   for (const HttpResult& result : healthChecks_.TakeResults()) {
     healthCheckRunning_ = false;
@@ -351,6 +382,60 @@
   healthChecks_.Send(0, head, "", now_, now_ + kHealthTimeout);
 }
 
+void
+Node::HandleReportEvents(HttpServerEvents aEvents)
+{
+  for (const ArrivedRequest& arrived : aEvents.requests_) {
+    const auto notice = interface_.reports_->parseNotice_(arrived.message_);
+    if (!notice) {
+      ++counters_.invalidReports_;
+      spdlog::warn("event=backend_report_unreadable subject=\"{}\" error=\"{}\"",
+                   notice.error().subject_,
+                   notice.error().message_);
+      AnswerReport(arrived.exchange_, Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+      continue;
+    }
+    if (const auto* report = std::get_if<BackendReport>(&*notice)) {
+      queue_.push_back(BackendReported{ *report });
+    } else {
+      queue_.push_back(BackendLeft{ std::get<BackendLeave>(*notice) });
+    }
+    // Acknowledged once it is in effect.
+    DrainQueue();
+    AnswerReport(arrived.exchange_, Poco::Net::HTTPResponse::HTTP_OK);
+  }
+}
+
+void
+Node::AnswerReport(ExchangeId aExchange, std::uint16_t aStatus)
+{
+  Poco::Net::HTTPResponse head = MakeResponseHead();
+  head.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aStatus));
+  head.setContentType("application/json");
+  HandleReportEvents(reports_->Reply(aExchange, head, "{}", now_));
+}
+
+void
+Node::CollectStoreResults()
+{
+  if (!store_) {
+    return;
+  }
+  for (HttpResult& result : store_->TakeResults()) {
+    const auto task = static_cast<StoreTask>(result.token_);
+    const StoreRequest request = storeCalls_.at(task);
+    storeCalls_.erase(task);
+    StoreReply reply =
+      StoreFailed{ result.outcome_ == ExchangeOutcome::kNotSent ? "not sent" : "no answer" };
+    if (result.response_) {
+      counters_.controlBytesReceived_ += result.response_->body_.size();
+      reply =
+        interface_.store_->parseReply_(settings_.node_.clusterKey_, request, *result.response_);
+    }
+    queue_.push_back(StoreAnswered{ task, std::move(reply) });
+  }
+}
+
 void
 Node::CollectLogResults()
 {
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -7,6 +7,7 @@
 #include "node/HttpClient.h"
 #include "node/HttpServer.h"
 #include "node/Metrics.h"
+#include "node/NodeInterface.h"
 #include "node/PeerLinks.h"
 #include "node/Settings.h"
 #include "policy/BackendHealth.h"
@@ -16,6 +17,7 @@
 #include <atomic>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -33,7 +35,7 @@
 {
 public:
   /** Opens all sockets. Throws Poco::Exception when an address cannot be used. */
-  Node(const ProcessSettings& aSettings, NodeClock aClock);
+  Node(const ProcessSettings& aSettings, NodeInterface aInterface, NodeClock aClock);
 
   /** Runs until the graceful stop has ended. aStopSignals counts the stop signals received. */
   void Run(const std::atomic<int>& aStopSignals);
@@ -56,6 +58,9 @@
   void CollectPeerEvents();
   void CollectBackendResults();
   void CollectLogResults();
+  void CollectStoreResults();
+  void HandleReportEvents(HttpServerEvents aEvents);
+  void AnswerReport(ExchangeId aExchange, std::uint16_t aStatus);
   void HandleLogResult(HttpResult aResult);
   void CheckBackend();
   void NoteHealth(BackendHealth aHealth);
@@ -68,15 +73,19 @@
   void RunEffect(SendGossip& aEffect);
   void RunEffect(CallBackend& aEffect);
   void RunEffect(CancelBackend& aEffect);
+  void RunEffect(ForgetBackendConnections& aEffect);
+  void RunEffect(AskStore& aEffect);
   void RunEffect(ReadLog& aEffect);
   void RunEffect(AppendLog& aEffect);
   void RunEffect(ReplyToCommand& aEffect);
   void RunEffect(ReplyInForce& aEffect);
   void RunEffect(LogLine& aEffect);
+  void RunEffect(CloseAfterReplies& aEffect);
   void RunEffect(StopAccepting& aEffect);
   void RunEffect(ExitProcess& aEffect);
 
   ProcessSettings settings_;
+  NodeInterface interface_;
   NodeClock clock_;
   Instant now_;
   NodeState state_;
@@ -87,6 +96,10 @@
   HttpClient backend_;
   HttpClient healthChecks_;
   std::optional<HttpClient> log_;
+  std::optional<HttpServer> reports_;
+  std::optional<HttpClient> store_;
+  /** The calls to the store that are under way, by task. */
+  std::map<StoreTask, StoreRequest> storeCalls_;
   Poco::Net::DatagramSocket gossip_;
   BackendHealth health_;
   Instant nextHealthCheckAt_;
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -3,7 +3,7 @@
  */
 #include "node/Node.h"
 
-#include "platform/LogProtocol.h"
+#include "logservice/LogProtocol.h"
 #include "wire/ControlJson.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration kLogTimeout = std::chrono::seconds(2);
+/** Beyond the wait that a call itself asks for. */
+constexpr Duration kStoreTimeout = std::chrono::seconds(1);
 /** The reducer ends requests at their deadline; this only bounds a connection that it forgot. */
 constexpr Duration kBackendTimeout = std::chrono::minutes(15);
 
@@ -33,7 +35,7 @@
 Node::RunEffect(ReplyToCaller& aEffect)
 {
   Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1, Poco::Net::HTTPResponse::HTTP_OK);
-  const std::string body = FormatCallerReply(aEffect.reply_, head);
+  const std::string body = interface_.calls_.formatReply_(aEffect.reply_, head);
   HandleCallerEvents(callers_.Reply(aEffect.exchange_, head, body, now_));
 }
 
@@ -67,12 +69,13 @@
 Node::RunEffect(CallBackend& aEffect)
 {
   Poco::Net::HTTPRequest head;
-  FormatBackendRequest(aEffect.request_, head);
+  interface_.calls_.formatBackendRequest_(aEffect.request_, head);
   backend_.Send(aEffect.request_.id_.value_,
                 head,
                 aEffect.request_.request_.body_,
                 now_,
-                now_ + kBackendTimeout);
+                now_ + kBackendTimeout,
+                interface_.calls_.expectedEcho_(aEffect.request_));
 }
 
 void
@@ -81,6 +84,32 @@
   backend_.Cancel(aEffect.request_.value_);
 }
 
+void
+Node::RunEffect(ForgetBackendConnections&)
+{
+  backend_.CloseIdle();
+}
+
+void
+Node::RunEffect(AskStore& aEffect)
+{
+  const StoreTask task = TaskOf(aEffect.request_);
+  if (!store_) {
+    queue_.push_back(StoreAnswered{ task, StoreFailed{ "no store is set" } });
+    return;
+  }
+  const StoreCall call =
+    interface_.store_->formatCall_(settings_.node_.clusterKey_, aEffect.request_);
+  Poco::Net::HTTPRequest head(call.method_, call.uri_, Poco::Net::HTTPMessage::HTTP_1_1);
+  counters_.controlBytesSent_ += call.uri_.size() + call.body_.size();
+  Duration timeout = kStoreTimeout;
+  if (const auto* await = std::get_if<AwaitConfiguration>(&aEffect.request_)) {
+    timeout += await->wait_;
+  }
+  storeCalls_.insert_or_assign(task, std::move(aEffect.request_));
+  store_->Send(static_cast<std::uint64_t>(task), head, call.body_, now_, now_ + timeout);
+}
+
 void
 Node::RunEffect(ReadLog& aEffect)
 {
@@ -129,6 +158,12 @@
   spdlog::info("event={}{}", aEffect.event_, fields);
 }
 
+void
+Node::RunEffect(CloseAfterReplies&)
+{
+  callers_.CloseAfterReplies();
+}
+
 void
 Node::RunEffect(StopAccepting&)
 {
--- /dev/null
+++ b/packages/node/NodeInterface.cpp
@@ -0,0 +1,42 @@
+#include "node/NodeInterface.h"
+
+namespace fulmarway {
+
+namespace {
+
+std::optional<Answer>
+MakeAnswer(HttpResponseMessage aMessage)
+{
+  Answer answer;
+  answer.status_ = static_cast<std::uint16_t>(aMessage.head_.getStatus());
+  if (const std::string& type = aMessage.head_.getContentType();
+      type != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE) {
+    answer.contentType_ = type;
+  }
+  answer.body_ = std::move(aMessage.body_);
+  return answer;
+}
+
+std::optional<ExpectedEcho>
+ExpectNoEcho(const BackendRequest&)
+{
+  return std::nullopt;
+}
+
+} // namespace
+
+NodeInterface
+OwnInterface()
+{
+  return { { ParseCallerRequest,
+             FormatCallerReply,
+             FormatInvalidRequest,
+             FormatBackendRequest,
+             ExpectNoEcho,
+             IsRefusedByBackend,
+             MakeAnswer },
+           std::nullopt,
+           std::nullopt };
+}
+
+} // namespace fulmarway
--- a/packages/node/Poller.h
+++ b/packages/node/Poller.h
@@ -28,6 +28,9 @@
   kBackendConnection,
   kHealthConnection,
   kLogConnection,
+  kReportListener,
+  kReportConnection,
+  kStoreConnection,
   kGossip,
 };
 
--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -23,6 +23,7 @@
   kSecret,
   kNumber,
   kLogLevel,
+  kInterface,
 };
 
 /** One setting; the environment variable is FULMARWAY_ and the name in capitals. */
@@ -47,6 +48,18 @@
   SettingSpec{ "domain", SettingKind::kName, "", "failure domain of the VM" },
   SettingSpec{ "region", SettingKind::kName, "default", "region of the VM" },
   SettingSpec{ "log-service", SettingKind::kOptionalAddress, "", "log service, IP:port" },
+  SettingSpec{ "interface",
+               SettingKind::kInterface,
+               "own",
+               "what callers, backend server and store speak: own or platform" },
+  SettingSpec{ "store",
+               SettingKind::kOptionalAddress,
+               "",
+               "store of configuration and announcements, IP:port; interface platform" },
+  SettingSpec{ "report-listen",
+               SettingKind::kOptionalAddress,
+               "",
+               "address for reports of the backend server, IP:port; interface platform" },
   SettingSpec{ "seeds", SettingKind::kAddressList, "", "peer addresses of some nodes" },
   SettingSpec{ "cluster-key", SettingKind::kSecret, "", "secret shared by all nodes" },
   SettingSpec{ "log-level", SettingKind::kLogLevel, "info", "debug, info, warn or error" },
@@ -56,6 +69,24 @@
                "longest graceful stop, milliseconds",
                3000,
                600000 },
+  SettingSpec{ "accept-after-stop-ms",
+               SettingKind::kNumber,
+               "0",
+               "time for which a stopping node takes new connections, milliseconds",
+               0,
+               60000 },
+  SettingSpec{ "retry-share-percent",
+               SettingKind::kNumber,
+               "10",
+               "retries and hedges as a share of successes, percent",
+               0,
+               100 },
+  SettingSpec{ "retry-burst",
+               SettingKind::kNumber,
+               "20",
+               "retries that are allowed before any success",
+               0,
+               1000 },
   SettingSpec{ "log-retention-seconds",
                SettingKind::kNumber,
                "3600",
@@ -161,6 +192,8 @@
       return "at least 16 bytes";
     case SettingKind::kLogLevel:
       return "debug, info, warn or error";
+    case SettingKind::kInterface:
+      return "own or platform";
     case SettingKind::kNumber:
       break;
   }
@@ -183,6 +216,8 @@
       return aValue.size() >= kMinSecretBytes;
     case SettingKind::kLogLevel:
       return aValue == "debug" || aValue == "info" || aValue == "warn" || aValue == "error";
+    case SettingKind::kInterface:
+      return aValue == kOwnInterface || aValue == kPlatformInterface;
     case SettingKind::kNumber:
       break;
   }
@@ -235,6 +270,9 @@
   settings.logService_ = ParseAddress(aValues.at("log-service"));
   settings.maxConnections_ = *ParseNumber(aValues.at("max-connections"));
   settings.logLevel_ = aValues.at("log-level");
+  settings.interface_ = aValues.at("interface");
+  settings.store_ = ParseAddress(aValues.at("store"));
+  settings.reportListen_ = ParseAddress(aValues.at("report-listen"));
 
   NodeSettings& node = settings.node_;
   node.identity_.peerAddress_ = settings.peerListen_.toString();
@@ -246,6 +284,12 @@
   node.clusterKey_.secret_ = aValues.at("cluster-key");
   node.seeds_ = SplitList(aValues.at("seeds"));
   node.stopTimeout_ = Milliseconds(aValues.at("stop-timeout-ms"));
+  node.acceptAfterStop_ = Milliseconds(aValues.at("accept-after-stop-ms"));
+  node.retries_.retrySharePercent_ =
+    static_cast<std::uint32_t>(*ParseNumber(aValues.at("retry-share-percent")));
+  node.retries_.retryBurst_ = static_cast<std::uint32_t>(*ParseNumber(aValues.at("retry-burst")));
+  node.usesStore_ = settings.interface_ == kPlatformInterface;
+  node.usesTickets_ = !node.usesStore_;
   node.logPollInterval_ = Milliseconds(aValues.at("log-poll-ms"));
   node.logRetention_ = std::chrono::seconds(*ParseNumber(aValues.at("log-retention-seconds")));
   return settings;
--- a/packages/node/Settings.h
+++ b/packages/node/Settings.h
@@ -11,11 +11,16 @@
 #include <iosfwd>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 #include <vector>
 
 namespace fulmarway {
 
+/** Values of the setting `interface`. */
+inline constexpr std::string_view kOwnInterface = "own";
+inline constexpr std::string_view kPlatformInterface = "platform";
+
 struct ProcessSettings
 {
   /** Without the identity's generation and incarnation, which are drawn at start. */
@@ -25,6 +30,12 @@
   Poco::Net::SocketAddress adminListen_;
   Poco::Net::SocketAddress backend_;
   std::optional<Poco::Net::SocketAddress> logService_;
+  /** Where the own backend server sends its reports; only with an interface that has reports. */
+  std::optional<Poco::Net::SocketAddress> reportListen_;
+  /** Only with an interface that has a store. */
+  std::optional<Poco::Net::SocketAddress> store_;
+  /** Which set of outside functions the node uses, see NodeInterface.h. */
+  std::string interface_;
   std::size_t maxConnections_ = 2000;
   std::string logLevel_ = "info";
   /** --check-settings: end after the check. */
--- a/packages/node/TcpChannel.cpp
+++ b/packages/node/TcpChannel.cpp
@@ -87,6 +87,7 @@
     for (int turn = 0; turn < kMaxReadsInTurn; ++turn) {
       const int received = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
       if (received == 0) {
+        endedInOrder_ = true;
         return ChannelStatus::kClosed;
       }
       if (received < 0) {
--- a/packages/node/TcpChannel.h
+++ b/packages/node/TcpChannel.h
@@ -41,6 +41,9 @@
   /** Bytes in the output buffer. */
   std::size_t PendingBytes() const { return output_.size() - outputStart_; }
 
+  /** Whether the other side closed the connection in order, after all of its bytes. */
+  bool EndedInOrder() const { return endedInOrder_; }
+
   /** Whether the socket must be polled for writing. */
   bool WantsWrite() const { return connecting_ || PendingBytes() > 0; }
 
@@ -51,6 +54,7 @@
 private:
   Poco::Net::StreamSocket socket_;
   bool connecting_ = false;
+  bool endedInOrder_ = false;
   std::string output_;
   std::size_t outputStart_ = 0;
   std::uint64_t bytesWritten_ = 0;
--- a/packages/policy/Control.cpp
+++ b/packages/policy/Control.cpp
@@ -25,6 +25,7 @@
 {
   const Configuration& config = ConfigOf(aState);
   aState.outbound_.candidatesStale_ = true;
+  aState.outbound_.splits_ = KeepRoutes(std::move(aState.outbound_.splits_), config.routes_);
   const auto own = config.services_.find(aState.settings_.identity_.service_);
   if (own != config.services_.end()) {
     const ServiceSpec& service = own->second;
@@ -295,7 +296,23 @@
   aContext.effects_.push_back(
     SendToPeer{ aMessage.sender_,
                 aMessage.senderAddress_,
-                ConfigRequest{ aState.log_.state_.nextOffset_, ConfigOf(aState).version_ } });
+                ConfigRequest{ aState.settings_.usesStore_ ? 0 : aState.log_.state_.nextOffset_,
+                               ConfigOf(aState).version_ } });
+}
+
+void
+AdoptConfiguration(NodeState& aState, ReduceContext& aContext, Configuration aConfiguration)
+{
+  if (aConfiguration.version_ <= ConfigOf(aState).version_) {
+    return;
+  }
+  ChangeReader(aState, aContext, [&](LogReader aReader) {
+    // Without a log the version takes the place of the offset: peers compare it.
+    aReader.state_.nextOffset_ = aConfiguration.version_;
+    aReader.state_.config_ = std::move(aConfiguration);
+    aReader.complete_ = true;
+    return Step<LogReader, bool>{ std::move(aReader), true };
+  });
 }
 
 void
@@ -318,10 +335,12 @@
 void
 AdvanceControl(NodeState& aState, ReduceContext& aContext)
 {
-  Announce(aState, aContext);
   AdvanceCommands(aState, aContext);
-  PollLog(aState, aContext);
-  MaybeSnapshot(aState, aContext);
+  if (!aState.settings_.usesStore_) {
+    Announce(aState, aContext);
+    PollLog(aState, aContext);
+    MaybeSnapshot(aState, aContext);
+  }
   AnswerInForceQueries(aState, aContext);
 }
 
--- a/packages/policy/Control.h
+++ b/packages/policy/Control.h
@@ -27,6 +27,10 @@
 void
 NoteGossipVersion(NodeState& aState, ReduceContext& aContext, const GossipMessage& aMessage);
 
+/** Puts a configuration that was made outside the log in force when its version is higher. */
+void
+AdoptConfiguration(NodeState& aState, ReduceContext& aContext, Configuration aConfiguration);
+
 void
 HandleConfigRequest(NodeState& aState,
                     ReduceContext& aContext,
--- a/packages/policy/Effect.h
+++ b/packages/policy/Effect.h
@@ -7,6 +7,7 @@
 #include "model/Config.h"
 #include "model/ControlDocuments.h"
 #include "model/PeerMessage.h"
+#include "model/Store.h"
 #include "policy/Event.h"
 
 #include <cstdint>
@@ -67,6 +68,20 @@
   bool operator==(const CancelBackend&) const = default;
 };
 
+/** Closes idle connections to the own backend server, since another run has its address. */
+struct ForgetBackendConnections
+{
+  bool operator==(const ForgetBackendConnections&) const = default;
+};
+
+/** Comes back in StoreAnswered. */
+struct AskStore
+{
+  StoreRequest request_;
+
+  bool operator==(const AskStore&) const = default;
+};
+
 struct ReadLog
 {
   std::uint64_t from_ = 0;
@@ -108,6 +123,12 @@
   bool operator==(const LogLine&) const = default;
 };
 
+/** Caller connections that are open close after their next reply; new ones are still taken. */
+struct CloseAfterReplies
+{
+  bool operator==(const CloseAfterReplies&) const = default;
+};
+
 /** No new caller connections; those that are open close after their next reply. */
 struct StopAccepting
 {
@@ -125,11 +146,14 @@
                             SendGossip,
                             CallBackend,
                             CancelBackend,
+                            ForgetBackendConnections,
+                            AskStore,
                             ReadLog,
                             AppendLog,
                             ReplyToCommand,
                             ReplyInForce,
                             LogLine,
+                            CloseAfterReplies,
                             StopAccepting,
                             ExitProcess>;
 
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -4,9 +4,11 @@
  */
 #pragma once
 
+#include "model/BackendReport.h"
 #include "model/CallerRequest.h"
 #include "model/Config.h"
 #include "model/PeerMessage.h"
+#include "model/Store.h"
 
 #include <cstdint>
 #include <optional>
@@ -99,6 +101,30 @@
   bool operator==(const BackendHealthChanged&) const = default;
 };
 
+/** A heartbeat of the own backend server. */
+struct BackendReported
+{
+  BackendReport report_;
+
+  bool operator==(const BackendReported&) const = default;
+};
+
+struct BackendLeft
+{
+  BackendLeave leave_;
+
+  bool operator==(const BackendLeft&) const = default;
+};
+
+/** The end of one call to the store. */
+struct StoreAnswered
+{
+  StoreTask task_ = StoreTask::kConfiguration;
+  StoreReply reply_;
+
+  bool operator==(const StoreAnswered&) const = default;
+};
+
 struct GossipArrived
 {
   GossipMessage message_;
@@ -183,6 +209,9 @@
                                BackendAnswered,
                                BackendFailed,
                                BackendHealthChanged,
+                               BackendReported,
+                               BackendLeft,
+                               StoreAnswered,
                                GossipArrived,
                                LogRecordsRead,
                                LogReadFailed,
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -1,6 +1,7 @@
 #include "policy/Inbound.h"
 
 #include "policy/InboundReplies.h"
+#include "policy/Lifecycle.h"
 #include "policy/RouteCandidates.h"
 
 #include <algorithm>
@@ -40,6 +41,12 @@
     FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
     return;
   }
+  if (request.request_.routed_ && !AcceptsNewWork(aState, aContext.now_)) {
+    // It waited until after the grace of a drain; another node can still take it.
+    EndNotRun(aState, aContext, aId, Reason::kDraining);
+    FinishAdmission(aState, aContext, aId, CompletionKind::kAbandoned);
+    return;
+  }
   if (request.request_.ticket_ &&
       !Apply(aState.tickets_, StartTicket(std::move(aState.tickets_), *request.request_.ticket_))) {
     EndNotRun(aState, aContext, aId, Reason::kTicketClosed);
@@ -50,7 +57,10 @@
   request.startedAt_ = aContext.now_;
   aState.counters_.Add(CounterId::kBackendStarts);
   aContext.effects_.push_back(
-    CallBackend{ { aId, request.request_, request.deadline_ - aContext.now_ } });
+    CallBackend{ { aId,
+                   request.request_,
+                   request.deadline_ - aContext.now_,
+                   aState.backend_ ? aState.backend_->report_.instance_ : "" } });
 }
 
 bool
@@ -68,6 +78,12 @@
   if (request.service_ != aState.settings_.identity_.service_) {
     return Refusal{ Verdict::kNotRun, Reason::kUnknownService, std::nullopt };
   }
+  if (request.routed_) {
+    // The entry node selected the route; this node may have another version in force.
+    return request.depth_ > kMaxDepth
+             ? std::optional(Refusal{ Verdict::kNotRun, Reason::kTooDeep, std::nullopt })
+             : std::nullopt;
+  }
   const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
   if (kind == nullptr) {
     return Refusal{ Verdict::kNotRun, Reason::kUnknownKind, std::nullopt };
@@ -353,7 +369,7 @@
   const bool hasFailed = aEvent.refused_ || aEvent.answer_.status_ >= kFirstServerError;
   LearnDependencies(aState, found->second, hasFailed);
   if (aEvent.refused_) {
-    EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kShedByQueue);
+    EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kRefusedByBackend);
   } else if (ticket) {
     const Waiters waiters =
       Apply(aState.tickets_, CompleteTicket(std::move(aState.tickets_), *ticket, aEvent.answer_));
@@ -381,6 +397,7 @@
     EndMayHaveRun(aState, aContext, aEvent.request_, Reason::kBackendLost);
   } else {
     EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kBackendUnreachable);
+    NoteFailedConnect(aState, aContext);
   }
   FinishAdmission(aState, aContext, aEvent.request_, CompletionKind::kFailed);
 }
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "policy/Lifecycle.h"
 
+#include "policy/Inbound.h"
 #include "policy/RouteCandidates.h"
 
 #include <algorithm>
@@ -45,6 +46,13 @@
   return ConfigOf(aState).drained_.contains(aState.settings_.identity_.peerAddress_);
 }
 
+/** Whether the operator or the backend server itself wants no new work for it. */
+bool
+IsDrainWanted(const NodeState& aState)
+{
+  return IsDrainedByOperator(aState) || IsLeaving(aState.backend_);
+}
+
 void
 BeginDrain(NodeState& aState, ReduceContext& aContext)
 {
@@ -54,13 +62,13 @@
 }
 
 void
-FollowOperatorDrain(NodeState& aState, ReduceContext& aContext)
+FollowDrain(NodeState& aState, ReduceContext& aContext)
 {
   const LifecyclePhase phase = aState.lifecycle_.phase_;
-  if (phase == LifecyclePhase::kServing && IsDrainedByOperator(aState)) {
+  if (phase == LifecyclePhase::kServing && IsDrainWanted(aState)) {
     BeginDrain(aState, aContext);
   } else if (phase == LifecyclePhase::kDraining && !aState.lifecycle_.stopRequested_ &&
-             !IsDrainedByOperator(aState)) {
+             !IsDrainWanted(aState)) {
     EnterPhase(aState, aContext, LifecyclePhase::kServing);
     SetState(aState,
              aContext,
@@ -68,6 +76,32 @@
   }
 }
 
+void
+SetBackendHealth(NodeState& aState, ReduceContext& aContext, bool aHealthy)
+{
+  aState.lifecycle_.backendHealthy_ = aHealthy;
+  aState.outbound_.candidatesStale_ = true;
+  if (aState.lifecycle_.phase_ == LifecyclePhase::kServing) {
+    SetState(aState, aContext, aHealthy ? MemberState::kAlive : MemberState::kJoining);
+  }
+}
+
+/** Health follows the reports where the backend server sends them. */
+void
+FollowReports(NodeState& aState, ReduceContext& aContext)
+{
+  const bool isUsable = IsUsable(aState.backend_, aContext.now_);
+  if (aState.backend_ && isUsable != aState.lifecycle_.backendHealthy_) {
+    const Duration age = aContext.now_ - aState.backend_->heardAt_;
+    aContext.effects_.push_back(
+      LogLine{ isUsable ? "backend_regained" : "backend_lost",
+               { { "instance", aState.backend_->report_.instance_ },
+                 { "report_age_us", std::to_string(age.count()) },
+                 { "failed_connects", std::to_string(aState.backend_->failedConnects_) } } });
+    SetBackendHealth(aState, aContext, isUsable);
+  }
+}
+
 bool
 HasWork(const NodeState& aState)
 {
@@ -129,10 +163,12 @@
   const LifecycleState& lifecycle = aState.lifecycle_;
   const bool isGraceOver =
     aContext.now_ >= lifecycle.drainStartedAt_ + aState.settings_.drainGrace_;
-  if (!isGraceOver || HasWork(aState) || UnfinishedTickets(aState.tickets_) > 0) {
+  const bool isAccepting =
+    aContext.now_ < lifecycle.stopRequestedAt_ + aState.settings_.acceptAfterStop_;
+  if (!isGraceOver || isAccepting || HasWork(aState) || UnfinishedTickets(aState.tickets_) > 0) {
     return;
   }
-  const NodeId successor = ChooseSuccessor(aState);
+  const NodeId successor = aState.settings_.usesTickets_ ? ChooseSuccessor(aState) : NodeId{};
   if (successor == NodeId{}) {
     Leave(aState, aContext, {});
     return;
@@ -145,7 +181,13 @@
 AdvanceStop(NodeState& aState, ReduceContext& aContext)
 {
   LifecycleState& lifecycle = aState.lifecycle_;
-  const bool isTooLate = aContext.now_ >= lifecycle.drainStartedAt_ + aState.settings_.stopTimeout_;
+  if (!lifecycle.hasStoppedAccepting_ &&
+      aContext.now_ >= lifecycle.stopRequestedAt_ + aState.settings_.acceptAfterStop_) {
+    lifecycle.hasStoppedAccepting_ = true;
+    aContext.effects_.push_back(StopAccepting{});
+  }
+  const bool isTooLate =
+    aContext.now_ >= lifecycle.stopRequestedAt_ + aState.settings_.stopTimeout_;
   switch (lifecycle.phase_) {
     case LifecyclePhase::kServing:
       BeginDrain(aState, aContext);
@@ -180,10 +222,57 @@
 void
 HandleBackendHealth(NodeState& aState, ReduceContext& aContext, bool aHealthy)
 {
-  aState.lifecycle_.backendHealthy_ = aHealthy;
-  aState.outbound_.candidatesStale_ = true;
-  if (aState.lifecycle_.phase_ == LifecyclePhase::kServing) {
-    SetState(aState, aContext, aHealthy ? MemberState::kAlive : MemberState::kJoining);
+  SetBackendHealth(aState, aContext, aHealthy);
+}
+
+void
+HandleBackendReport(NodeState& aState, ReduceContext& aContext, const BackendReport& aReport)
+{
+  if (aReport.service_ != aState.settings_.identity_.service_) {
+    aContext.effects_.push_back(
+      LogLine{ "backend_report_ignored",
+               { { "instance", aReport.instance_ }, { "service", aReport.service_ } } });
+    return;
+  }
+  const ReportVerdict verdict =
+    Apply(aState.backend_, TakeReport(std::move(aState.backend_), aReport, aContext.now_));
+  if (verdict == ReportVerdict::kOutdated) {
+    return;
+  }
+  if (verdict == ReportVerdict::kNewRun) {
+    aContext.effects_.push_back(ForgetBackendConnections{});
+    aContext.effects_.push_back(LogLine{ "backend_run",
+                                         { { "instance", aReport.instance_ },
+                                           { "started_ms", std::to_string(aReport.startedAtMs_) },
+                                           { "slots", std::to_string(aReport.slots_) } } });
+  }
+  AdmissionSettings settings = aState.admission_.settings_;
+  if (aReport.slots_ > 0 && settings.slots_ != aReport.slots_) {
+    settings.slots_ = aReport.slots_;
+    ApplyAdmission(
+      aState,
+      aContext,
+      Apply(aState.admission_, Configure(std::move(aState.admission_), settings, aContext.now_)));
+  }
+  FollowReports(aState, aContext);
+  FollowDrain(aState, aContext);
+}
+
+void
+HandleBackendLeft(NodeState& aState, ReduceContext& aContext, const BackendLeave& aLeave)
+{
+  if (Apply(aState.backend_, TakeLeave(std::move(aState.backend_), aLeave))) {
+    aContext.effects_.push_back(LogLine{ "backend_leaves", { { "instance", aLeave.instance_ } } });
+    FollowDrain(aState, aContext);
+  }
+}
+
+void
+NoteFailedConnect(NodeState& aState, ReduceContext& aContext)
+{
+  if (aState.backend_) {
+    aState.backend_->failedConnects_ += 1;
+    FollowReports(aState, aContext);
   }
 }
 
@@ -194,11 +283,13 @@
     return;
   }
   aState.lifecycle_.stopRequested_ = true;
+  aState.lifecycle_.stopRequestedAt_ = aContext.now_;
   aContext.effects_.push_back(LogLine{ "stop_requested", {} });
   if (aState.lifecycle_.phase_ == LifecyclePhase::kServing) {
     BeginDrain(aState, aContext);
   }
-  aContext.effects_.push_back(StopAccepting{});
+  aContext.effects_.push_back(CloseAfterReplies{});
+  AdvanceStop(aState, aContext);
 }
 
 void
@@ -226,7 +317,8 @@
 void
 AdvanceLifecycle(NodeState& aState, ReduceContext& aContext)
 {
-  FollowOperatorDrain(aState, aContext);
+  FollowDrain(aState, aContext);
+  FollowReports(aState, aContext);
   if (aState.lifecycle_.stopRequested_) {
     AdvanceStop(aState, aContext);
   }
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -8,6 +8,7 @@
 #include "model/Random.h"
 #include "model/Step.h"
 #include "policy/Admission.h"
+#include "policy/BackendReports.h"
 #include "policy/CallDependencies.h"
 #include "policy/ConfigFold.h"
 #include "policy/Counters.h"
@@ -17,6 +18,7 @@
 #include "policy/RetryBudget.h"
 #include "policy/Routing.h"
 #include "policy/TicketTable.h"
+#include "policy/WeightedSplit.h"
 
 #include <deque>
 #include <map>
@@ -45,6 +47,14 @@
   /** How long a draining node still takes work, so that callers that have not heard of the drain
    * are not refused. Below the 2 s after which a draining node must get no new work. */
   Duration drainGrace_ = std::chrono::milliseconds(1500);
+  /** How long a stopping node still takes new connections: until those who choose a node for the
+   * callers have seen that it is not ready. */
+  Duration acceptAfterStop_{ 0 };
+  /** The configuration and the announcements of nodes last in a store, and the backend server
+   * reports to its node, instead of the log service and health checks. */
+  bool usesStore_ = false;
+  /** Backend servers are known by routes and need no tickets. */
+  bool usesTickets_ = true;
 
   bool operator==(const NodeSettings&) const = default;
 };
@@ -124,6 +134,8 @@
   std::optional<Instant> repeatAt_;
   std::uint32_t ticketRepeats_ = 0;
   std::uint32_t redirects_ = 0;
+  /** Attempts that were refused before they reached a backend server. */
+  std::uint32_t replacements_ = 0;
 
   bool operator==(const OutboundCall&) const = default;
 };
@@ -137,6 +149,7 @@
   /** Possible targets by service; rebuilt when membership or drains change. */
   std::map<std::string, std::vector<RouteCandidate>> candidates_;
   bool candidatesStale_ = true;
+  WeightedSplits splits_;
 
   bool operator==(const OutboundState&) const = default;
 };
@@ -170,6 +183,27 @@
   bool operator==(const PendingInForce&) const = default;
 };
 
+/** Use of the store that holds the configuration and the announcements of nodes. */
+struct StoreState
+{
+  bool readingConfiguration_ = false;
+  Instant nextConfigurationReadAt_;
+  /** Where to wait for the next change; nullopt before the newest was read. */
+  std::optional<std::uint64_t> nextChange_;
+  bool listing_ = false;
+  Instant nextListAt_;
+  /** Continues a listing of several pages. */
+  std::string listAfter_;
+  /** Complete listings since the store was last unreachable. */
+  std::uint32_t listings_ = 0;
+  bool announcing_ = false;
+  Instant nextAnnounceAt_;
+  bool reachable_ = true;
+  std::uint32_t failuresInRow_ = 0;
+
+  bool operator==(const StoreState&) const = default;
+};
+
 /** Reading and writing of the log and the operators' requests. */
 struct ControlState
 {
@@ -210,6 +244,8 @@
   bool stopRequested_ = false;
   Instant phaseSince_;
   Instant drainStartedAt_;
+  Instant stopRequestedAt_;
+  bool hasStoppedAccepting_ = false;
   Instant nextHandoverSendAt_;
   bool backendHealthy_ = false;
 
@@ -229,6 +265,9 @@
   OutboundState outbound_;
   ControlState control_;
   LifecycleState lifecycle_;
+  StoreState store_;
+  /** nullopt before the first report; not used with health checks. */
+  std::optional<BackendInstance> backend_;
   Counters counters_;
   Instant nextAdmissionAdvanceAt_;
   Instant nextMembershipAdvanceAt_;
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -4,6 +4,7 @@
 #include "policy/Inbound.h"
 #include "policy/OutboundCalls.h"
 #include "policy/RouteCandidates.h"
+#include "policy/RoutedCalls.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,6 +13,9 @@
 
 namespace {
 
+/** Nodes that are tried after refusals that cost no token; each one costs a round trip. */
+constexpr std::uint32_t kMaxReplacements = 2;
+
 /** Longest chain of planned stops that one call follows. */
 constexpr std::uint32_t kMaxRedirects = 4;
 
@@ -80,6 +84,30 @@
   }
 }
 
+/** Whether the attempt may have reached a backend server, so that another one costs a token. */
+bool
+HasReachedBackend(const Refusal& aRefusal)
+{
+  return aRefusal.verdict_ != Verdict::kNotRun || aRefusal.reason_ == Reason::kRefusedByBackend;
+}
+
+/** A routed attempt that a node refused by itself has cost its backend server nothing, so another
+ * node is tried at no cost in tokens while there is one that was not tried. */
+bool
+TryReplacement(NodeState& aState, ReduceContext& aContext, CallId aCall, const Refusal& aRefusal)
+{
+  OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  const bool hasOther = call.tried_.size() < CandidatesFor(aState, call.request_.service_).size();
+  if (!call.request_.routed_ || HasReachedBackend(aRefusal) || !hasOther ||
+      call.replacements_ >= kMaxReplacements || !IsWorthRetry(aRefusal.reason_) ||
+      aContext.now_ >= call.deadline_) {
+    return false;
+  }
+  call.replacements_ += 1;
+  TryTarget(aState, aContext, aCall);
+  return true;
+}
+
 /** Spends a token and tries another target; ends the call when that is not possible. */
 void
 RetryOrEnd(NodeState& aState, ReduceContext& aContext, CallId aCall, Refusal aRefusal)
@@ -88,6 +116,13 @@
   if (!call.attempts_.empty()) {
     return; // The hedge or the first attempt is still under way.
   }
+  if (!call.idempotent_ && call.mayHaveRun_) {
+    ReplyRefusal(aState, aContext, aCall, aRefusal);
+    return;
+  }
+  if (TryReplacement(aState, aContext, aCall, aRefusal)) {
+    return;
+  }
   if (aContext.now_ < call.deadline_ && IsWorthRetry(aRefusal.reason_) &&
       Apply(aState.budget_, SpendToken(std::move(aState.budget_), call.pool_))) {
     aState.counters_.Add(CounterId::kRetries);
@@ -224,6 +259,10 @@
 HandleCallerRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
 {
   const CallerRequest& request = aEvent.request_;
+  if (request.routed_) {
+    HandleRoutedRequest(aState, aContext, aEvent);
+    return;
+  }
   if (const auto refusal = CheckRequest(aState, request)) {
     RefuseRequest(aState, aContext, aEvent, *refusal);
     return;
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -33,6 +33,14 @@
   return call;
 }
 
+/** A routed call of a backend server has an id of its own, though it counts as part of the click of
+ * its parent. */
+std::string
+ClickForReply(const OutboundCall& aCall)
+{
+  return aCall.request_.routed_ ? aCall.origin_.clickId_.value_or("") : aCall.request_.clickId_;
+}
+
 /** The ticket that goes with a reply: the one that was asked for, or one for a new try. */
 std::optional<Ticket>
 TicketForReply(NodeState& aState,
@@ -41,6 +49,9 @@
                bool aIsNotRun)
 {
   const CallerRequest& origin = aCall.origin_;
+  if (aCall.request_.routed_) {
+    return std::nullopt;
+  }
   if (!aCall.idempotent_) {
     return aIsNotRun && !origin.parent_
              ? IssueTicketFor(aState, aContext, origin.service_, origin.kind_)
@@ -156,7 +167,7 @@
   CallerReply reply;
   reply.outcome_ = { Verdict::kRan, Reason::kNone, std::nullopt };
   reply.answer_ = std::move(aAnswer);
-  reply.clickId_ = call.request_.clickId_;
+  reply.clickId_ = ClickForReply(call);
   reply.ticket_ = TicketForReply(aState, aContext, call, false);
   aContext.effects_.push_back(ReplyToCaller{ call.exchange_, std::move(reply) });
 }
@@ -187,7 +198,7 @@
               aContext.now_);
   CallerReply reply;
   reply.outcome_ = aRefusal;
-  reply.clickId_ = call.request_.clickId_;
+  reply.clickId_ = ClickForReply(call);
   reply.ticket_ = TicketForReply(aState, aContext, call, isNotRun);
   aContext.effects_.push_back(ReplyToCaller{ call.exchange_, std::move(reply) });
 }
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -4,6 +4,7 @@
 #include "policy/Inbound.h"
 #include "policy/Lifecycle.h"
 #include "policy/Outbound.h"
+#include "policy/StoreSync.h"
 
 namespace fulmarway {
 
@@ -84,6 +85,7 @@
   AdvanceInbound(aState, aContext);
   AdvanceOutbound(aState, aContext);
   AdvanceControl(aState, aContext);
+  AdvanceStore(aState, aContext);
   AdvanceLifecycle(aState, aContext);
   if (now >= aState.nextMembershipAdvanceAt_) {
     constexpr Duration kMembershipInterval = std::chrono::milliseconds(100);
@@ -135,6 +137,12 @@
   {
     HandleBackendHealth(state_, context_, aEvent.healthy_);
   }
+  void operator()(const BackendReported& aEvent)
+  {
+    HandleBackendReport(state_, context_, aEvent.report_);
+  }
+  void operator()(const BackendLeft& aEvent) { HandleBackendLeft(state_, context_, aEvent.leave_); }
+  void operator()(const StoreAnswered& aEvent) { HandleStoreAnswered(state_, context_, aEvent); }
   void operator()(const GossipArrived& aEvent)
   {
     state_.counters_.Add(CounterId::kGossipReceived);
--- /dev/null
+++ b/packages/policy/RoutedCalls.cpp
@@ -0,0 +1,127 @@
+#include "policy/RoutedCalls.h"
+
+#include "policy/OutboundCalls.h"
+#include "policy/RouteTable.h"
+
+#include <algorithm>
+
+namespace fulmarway {
+
+namespace {
+
+/** Rounding of two deadlines to milliseconds, and the delays of two messages on one VM. */
+constexpr Duration kDeadlineTolerance = std::chrono::milliseconds(20);
+
+Refusal
+NotRun(Reason aReason)
+{
+  return { Verdict::kNotRun, aReason, std::nullopt };
+}
+
+/** The reason to refuse the request before its route is looked up. */
+std::optional<Reason>
+ReasonAgainst(const NodeState& aState)
+{
+  if (ConfigOf(aState).version_ == 0) {
+    return Reason::kNoConfiguration;
+  }
+  return aState.outbound_.calls_.size() >= kMaxOutboundCalls ? std::optional(Reason::kShedByQueue)
+                                                             : std::nullopt;
+}
+
+Request
+MakeRequest(const NodeState& aState,
+            ReduceContext& aContext,
+            const CallerRequest& aOrigin,
+            const RouteSpec& aRoute,
+            const std::string& aService)
+{
+  Request request;
+  request.clickId_ = aOrigin.clickId_ ? *aOrigin.clickId_ : ToHex(aContext.random_.Next());
+  request.service_ = aService;
+  request.kind_ = aRoute.kind_.name_;
+  request.importance_ = aRoute.kind_.importance_;
+  request.method_ = aOrigin.method_;
+  request.body_ = aOrigin.body_;
+  request.routed_ = aOrigin.routed_;
+  request.routed_->originService_ = aState.settings_.identity_.service_;
+  if (const auto& parent = aOrigin.parent_) {
+    const Request& outer = aState.inbound_.requests_.at(*parent).request_;
+    request.clickId_ = outer.clickId_;
+    request.importance_ = outer.importance_;
+    request.depth_ = static_cast<std::uint8_t>(outer.depth_ + 1);
+  }
+  return request;
+}
+
+OutboundCall
+MakeCall(NodeState& aState,
+         ReduceContext& aContext,
+         CallId aId,
+         const CallerRequestArrived& aEvent,
+         const RouteSpec& aRoute,
+         const std::string& aService)
+{
+  const CallerRequest& origin = aEvent.request_;
+  OutboundCall call;
+  call.exchange_ = aEvent.exchange_;
+  call.origin_ = origin;
+  call.startedAt_ = aContext.now_;
+  call.deadline_ = aContext.now_ + std::min(origin.deadline_.value_or(aRoute.kind_.deadline_),
+                                            aRoute.kind_.deadline_);
+  if (origin.fromBackend_) {
+    const Instant ownDeadline = aContext.now_ + origin.deadline_.value_or(Duration{ 0 });
+    call.origin_.parent_ = FindParentByDeadline(aState.inbound_, ownDeadline);
+  }
+  call.request_ = MakeRequest(aState, aContext, call.origin_, aRoute, aService);
+  call.origin_.body_.clear();
+  call.origin_.routed_.reset();
+  call.idempotent_ = aRoute.kind_.idempotent_;
+  call.ownsPool_ = true;
+  call.pool_ = PoolId{ aId.value_ };
+  aState.budget_ = OpenPool(std::move(aState.budget_), call.pool_, aRoute.kind_.extraAttempts_);
+  return call;
+}
+
+} // namespace
+
+void
+HandleRoutedRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
+{
+  if (const auto reason = ReasonAgainst(aState)) {
+    RefuseRequest(aState, aContext, aEvent, NotRun(*reason));
+    return;
+  }
+  const RoutedPart& routed = *aEvent.request_.routed_;
+  const RouteSpec* route = FindRoute(ConfigOf(aState), routed.host_, routed.uri_);
+  if (route == nullptr) {
+    RefuseRequest(aState, aContext, aEvent, NotRun(Reason::kUnknownKind));
+    return;
+  }
+  const std::string service =
+    Apply(aState.outbound_.splits_,
+          ChoosePart(std::move(aState.outbound_.splits_), *route, aContext.random_.Next()));
+  const CallId id{ aState.outbound_.nextId_++ };
+  OutboundCall call = MakeCall(aState, aContext, id, aEvent, *route, service);
+  aState.outbound_.byExchange_.emplace(call.exchange_, id);
+  aState.outbound_.calls_.emplace(id, std::move(call));
+  aState.counters_.Add(CounterId::kCallsStarted);
+  TryTarget(aState, aContext, id);
+}
+
+std::optional<RequestId>
+FindParentByDeadline(const InboundState& aInbound, Instant aDeadline)
+{
+  std::optional<RequestId> nearest;
+  Duration smallest = kDeadlineTolerance;
+  for (const auto& [id, request] : aInbound.requests_) {
+    const Duration difference = std::chrono::abs(request.deadline_ - aDeadline);
+    if (request.phase_ == InboundPhase::kRunning && difference <= smallest) {
+      smallest = difference;
+      nearest = id;
+    }
+  }
+  return nearest;
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/StoreSync.cpp
@@ -0,0 +1,188 @@
+#include "policy/StoreSync.h"
+
+#include "policy/Control.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarway {
+
+namespace {
+
+/** Longest wait for a change in one read. A connection that went silent is noticed only after it,
+ * and peers bring a change meanwhile. */
+constexpr Duration kChangeWait = std::chrono::seconds(5);
+/** Delay after a failed call; doubled with each further failure. */
+constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(250);
+constexpr std::uint32_t kMaxRetryDoublings = 2;
+/** Nodes that start together announce themselves within this time, so a second listing finds those
+ * that the first one missed. */
+constexpr Duration kSecondListingDelay = std::chrono::milliseconds(1500);
+constexpr std::uint32_t kListingsAfterStart = 2;
+/** While no other node is known. */
+constexpr Duration kLonelyListingDelay = std::chrono::seconds(1);
+/** Gossip spreads what changes; a listing finds nodes that it cannot reach, such as a group that
+ * started apart. */
+constexpr Duration kListingInterval = std::chrono::seconds(30);
+/** A lost or late write may have removed the announcement. */
+constexpr Duration kAnnounceInterval = std::chrono::seconds(60);
+
+Duration
+RetryDelay(const StoreState& aStore, ReduceContext& aContext)
+{
+  return aContext.random_.Jitter(kFirstRetryDelay *
+                                 (1U << std::min(aStore.failuresInRow_, kMaxRetryDoublings)));
+}
+
+bool
+KnowsLivePeer(const NodeState& aState)
+{
+  const auto members = Members(aState.membership_);
+  return std::any_of(members.begin(), members.end(), [](const MemberRecord& aMember) {
+    return aMember.state_ <= MemberState::kDraining;
+  });
+}
+
+void
+SetReachable(NodeState& aState, ReduceContext& aContext, bool aReachable, const std::string& aWhy)
+{
+  StoreState& store = aState.store_;
+  store.failuresInRow_ = aReachable ? 0 : store.failuresInRow_ + 1;
+  if (store.reachable_ == aReachable) {
+    return;
+  }
+  store.reachable_ = aReachable;
+  if (aReachable) {
+    store.listings_ = 0;
+    store.nextListAt_ = aContext.now_;
+    store.nextAnnounceAt_ = std::min(store.nextAnnounceAt_, aContext.now_);
+  }
+  aContext.effects_.push_back(
+    LogLine{ aReachable ? "store_regained" : "store_lost", { { "detail", aWhy } } });
+}
+
+struct ReplyHandler
+{
+  NodeState& state_;
+  ReduceContext& context_;
+  StoreTask task_;
+
+  void operator()(const ConfigurationRead& aReply) const
+  {
+    StoreState& store = state_.store_;
+    SetReachable(state_, context_, true, "");
+    store.readingConfiguration_ = false;
+    store.nextChange_ = aReply.next_;
+    store.nextConfigurationReadAt_ = context_.now_;
+    if (aReply.undecodable_ > 0) {
+      context_.effects_.push_back(LogLine{ "store_records_unreadable",
+                                           { { "count", std::to_string(aReply.undecodable_) } } });
+    }
+    if (aReply.configuration_) {
+      AdoptConfiguration(state_, context_, *aReply.configuration_);
+    }
+  }
+
+  void operator()(const AnnouncementsListed& aReply) const
+  {
+    StoreState& store = state_.store_;
+    SetReachable(state_, context_, true, "");
+    store.listing_ = false;
+    store.listAfter_ = aReply.continueAfter_.value_or("");
+    for (const MemberRecord& member : aReply.members_) {
+      ApplyGossipOutput(state_,
+                        context_,
+                        Apply(state_.membership_,
+                              LearnMember(std::move(state_.membership_), member, context_.now_)));
+    }
+    if (aReply.continueAfter_) {
+      store.nextListAt_ = context_.now_;
+      return;
+    }
+    store.listings_ += 1;
+    const Duration delay =
+      store.listings_ < kListingsAfterStart ? kSecondListingDelay : kListingInterval;
+    store.nextListAt_ = context_.now_ + context_.random_.Jitter(delay);
+  }
+
+  void operator()(const AnnouncementWritten&) const
+  {
+    SetReachable(state_, context_, true, "");
+    state_.store_.announcing_ = false;
+    state_.store_.nextAnnounceAt_ = context_.now_ + context_.random_.Jitter(kAnnounceInterval);
+  }
+
+  void operator()(const StoreFailed& aReply) const
+  {
+    StoreState& store = state_.store_;
+    SetReachable(state_, context_, false, aReply.detail_);
+    const Instant next = context_.now_ + RetryDelay(store, context_);
+    switch (task_) {
+      case StoreTask::kConfiguration:
+        store.readingConfiguration_ = false;
+        store.nextConfigurationReadAt_ = next;
+        break;
+      case StoreTask::kListing:
+        store.listing_ = false;
+        store.nextListAt_ = next;
+        break;
+      case StoreTask::kAnnouncement:
+        store.announcing_ = false;
+        store.nextAnnounceAt_ = next;
+        break;
+    }
+  }
+};
+
+void
+Ask(ReduceContext& aContext, StoreRequest aRequest)
+{
+  aContext.effects_.push_back(AskStore{ std::move(aRequest) });
+}
+
+/** A node that knows no other node cannot wait for the next regular listing. */
+bool
+IsListingDue(const NodeState& aState, const ReduceContext& aContext)
+{
+  const StoreState& store = aState.store_;
+  if (aContext.now_ >= store.nextListAt_) {
+    return true;
+  }
+  return store.reachable_ && store.nextListAt_ - aContext.now_ > kLonelyListingDelay &&
+         !KnowsLivePeer(aState);
+}
+
+} // namespace
+
+void
+HandleStoreAnswered(NodeState& aState, ReduceContext& aContext, const StoreAnswered& aEvent)
+{
+  std::visit(ReplyHandler{ aState, aContext, aEvent.task_ }, aEvent.reply_);
+}
+
+void
+AdvanceStore(NodeState& aState, ReduceContext& aContext)
+{
+  if (!aState.settings_.usesStore_) {
+    return;
+  }
+  StoreState& store = aState.store_;
+  if (!store.readingConfiguration_ && aContext.now_ >= store.nextConfigurationReadAt_) {
+    store.readingConfiguration_ = true;
+    if (store.nextChange_) {
+      Ask(aContext, AwaitConfiguration{ *store.nextChange_, kChangeWait });
+    } else {
+      Ask(aContext, ReadConfiguration{});
+    }
+  }
+  if (!store.announcing_ && aContext.now_ >= store.nextAnnounceAt_ && !IsDraining(aState)) {
+    store.announcing_ = true;
+    Ask(aContext, WriteAnnouncement{ aState.membership_.self_ });
+  }
+  if (!store.listing_ && IsListingDue(aState, aContext)) {
+    store.listing_ = true;
+    Ask(aContext, ListAnnouncements{ store.listAfter_ });
+  }
+}
+
+} // namespace fulmarway
--- /dev/null
+++ b/packages/policy/WeightedSplit.cpp
@@ -0,0 +1,82 @@
+#include "policy/WeightedSplit.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace fulmarway {
+
+namespace {
+
+std::int64_t
+TotalWeight(const std::vector<RoutePart>& aParts)
+{
+  std::int64_t total = 0;
+  for (const RoutePart& part : aParts) {
+    total += part.weight_;
+  }
+  return total;
+}
+
+std::size_t
+TakeTurn(SplitProgress& aProgress)
+{
+  std::size_t best = aProgress.parts_.size();
+  for (std::size_t i = 0; i < aProgress.parts_.size(); ++i) {
+    if (aProgress.parts_[i].weight_ == 0) {
+      continue;
+    }
+    aProgress.credits_[i] += aProgress.parts_[i].weight_;
+    if (best == aProgress.parts_.size() || aProgress.credits_[i] > aProgress.credits_[best]) {
+      best = i;
+    }
+  }
+  aProgress.credits_[best] -= TotalWeight(aProgress.parts_);
+  return best;
+}
+
+SplitProgress
+Begin(const std::vector<RoutePart>& aParts, std::uint64_t aEntropy)
+{
+  // More turns would repeat the sequence; the bound keeps large weights cheap.
+  constexpr std::uint64_t kMaxFirstTurns = 100;
+  SplitProgress progress{ aParts, std::vector<std::int64_t>(aParts.size(), 0) };
+  const auto total = static_cast<std::uint64_t>(TotalWeight(aParts));
+  for (std::uint64_t turn = aEntropy % std::min(total, kMaxFirstTurns); turn > 0; --turn) {
+    TakeTurn(progress);
+  }
+  return progress;
+}
+
+} // namespace
+
+Step<WeightedSplits, std::string>
+ChoosePart(WeightedSplits aState, const RouteSpec& aRoute, std::uint64_t aEntropy)
+{
+  if (TotalWeight(aRoute.parts_) == 0) {
+    return { std::move(aState), "" };
+  }
+  if (aRoute.parts_.size() == 1) {
+    return { std::move(aState), aRoute.parts_.front().service_ };
+  }
+  auto found = aState.byKind_.find(aRoute.kind_.name_);
+  if (found == aState.byKind_.end() || found->second.parts_ != aRoute.parts_) {
+    found =
+      aState.byKind_.insert_or_assign(aRoute.kind_.name_, Begin(aRoute.parts_, aEntropy)).first;
+  }
+  const std::size_t part = TakeTurn(found->second);
+  return { std::move(aState), aRoute.parts_[part].service_ };
+}
+
+WeightedSplits
+KeepRoutes(WeightedSplits aState, const std::vector<RouteSpec>& aRoutes)
+{
+  std::set<std::string_view> names;
+  for (const RouteSpec& route : aRoutes) {
+    names.insert(route.kind_.name_);
+  }
+  std::erase_if(aState.byKind_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
+  return aState;
+}
+
+} // namespace fulmarway
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -236,6 +236,32 @@
          status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
 }
 
+struct ResponseHead
+{
+  Poco::Net::HTTPResponse head_;
+  /** Where the body starts. */
+  std::size_t end_ = 0;
+};
+
+/** nullopt while the head is incomplete. */
+tl::expected<std::optional<ResponseHead>, UserError>
+FindResponseHead(std::string_view aBuffer)
+{
+  const std::size_t headEnd = aBuffer.find(kHeadEnd);
+  if (std::min(headEnd, aBuffer.size()) > kMaxHeaderBytes) {
+    return tl::unexpected(UserError{ "response head", "larger than the limit" });
+  }
+  if (headEnd == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t end = headEnd + kHeadEnd.size();
+  auto head = ParseHead<Poco::Net::HTTPResponse>(aBuffer.substr(0, end));
+  if (!head) {
+    return tl::unexpected(UserError{ "response head", "malformed" });
+  }
+  return ResponseHead{ std::move(*head), end };
+}
+
 template<typename Head>
 std::string
 Format(Head& aHead, std::string_view aBody)
@@ -279,31 +305,47 @@
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 TakeHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes)
 {
-  const std::size_t headEnd = aBuffer.find(kHeadEnd);
-  if (std::min(headEnd, aBuffer.size()) > kMaxHeaderBytes) {
-    return tl::unexpected(UserError{ "response head", "larger than the limit" });
+  const auto head = FindResponseHead(aBuffer);
+  if (!head) {
+    return tl::unexpected(head.error());
   }
-  if (headEnd == std::string::npos) {
+  if (!*head) {
     return std::nullopt;
   }
-  const std::size_t bodyStart = headEnd + kHeadEnd.size();
-  auto head = ParseHead<Poco::Net::HTTPResponse>(std::string_view(aBuffer).substr(0, bodyStart));
-  if (!head) {
-    return tl::unexpected(UserError{ "response head", "malformed" });
+  const auto defaultLength =
+    HasNoBody((*head)->head_) ? std::optional<std::size_t>(0) : std::nullopt;
+  auto framed = TakeBody((*head)->head_, aBuffer, (*head)->end_, aMaxBodyBytes, defaultLength);
+  if (!framed && framed.error() == BodyProblem::kNoLength &&
+      aBuffer.size() - (*head)->end_ <= aMaxBodyBytes) {
+    return std::nullopt;
   }
-  const auto defaultLength = HasNoBody(*head) ? std::optional<std::size_t>(0) : std::nullopt;
-  auto framed = TakeBody(*head, aBuffer, bodyStart, aMaxBodyBytes, defaultLength);
   if (!framed) {
-    return tl::unexpected(UserError{ "response body", "malformed, too large or without length" });
+    return tl::unexpected(UserError{ "response body", "malformed or too large" });
   }
   if (!*framed) {
     return std::nullopt;
   }
-  HttpResponseMessage message{ *head, std::move((*framed)->body_) };
+  HttpResponseMessage message{ (*head)->head_, std::move((*framed)->body_) };
   aBuffer.erase(0, (*framed)->end_);
   return message;
 }
 
+tl::expected<HttpResponseMessage, UserError>
+TakeLastHttpResponse(std::string aBuffer, std::size_t aMaxBodyBytes)
+{
+  const auto head = FindResponseHead(aBuffer);
+  if (!head) {
+    return tl::unexpected(head.error());
+  }
+  const bool isUnframed = *head && HasOneLength((*head)->head_) &&
+                          !(*head)->head_.hasContentLength() &&
+                          !(*head)->head_.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+  if (!isUnframed || aBuffer.size() - (*head)->end_ > aMaxBodyBytes) {
+    return tl::unexpected(UserError{ "response", "cut off or too large" });
+  }
+  return HttpResponseMessage{ (*head)->head_, aBuffer.substr((*head)->end_) };
+}
+
 std::string
 FormatHttp(Poco::Net::HTTPRequest& aHead, std::string_view aBody)
 {
--- a/packages/wire/HttpFraming.h
+++ b/packages/wire/HttpFraming.h
@@ -33,10 +33,16 @@
 TakeHttpRequest(std::string& aBuffer, std::size_t aMaxBodyBytes);
 
 /** Removes the first whole response from aBuffer; nullopt while bytes are missing. A response
- * without a declared length is an error, since its end cannot be told from a cut. */
+ * without a declared length is never whole here, see TakeLastHttpResponse(). */
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 TakeHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes);
 
+/** The response that a connection which was closed in order has left in aBuffer. Without a declared
+ * length the body is all that came after the head; an error when a declared length was not reached.
+ */
+tl::expected<HttpResponseMessage, UserError>
+TakeLastHttpResponse(std::string aBuffer, std::size_t aMaxBodyBytes);
+
 /** Head and body as bytes; sets Content-Length. */
 std::string
 FormatHttp(Poco::Net::HTTPRequest& aHead, std::string_view aBody);
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -77,6 +77,20 @@
   aArchive(aValue.executor_, aValue.incarnation_, aValue.epoch_, aValue.nonce_, aValue.mac_);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, HeaderField& aValue)
+{
+  aArchive(aValue.name_, aValue.value_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RoutedPart& aValue)
+{
+  aArchive(aValue.host_, aValue.uri_, aValue.headers_, aValue.originService_);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, Request& aValue)
@@ -90,14 +104,15 @@
            aValue.contentType_,
            aValue.body_,
            aValue.ticket_,
-           aValue.depth_);
+           aValue.depth_,
+           aValue.routed_);
 }
 
 template<class Archive>
 void
 serialize(Archive& aArchive, Answer& aValue)
 {
-  aArchive(aValue.status_, aValue.contentType_, aValue.body_);
+  aArchive(aValue.status_, aValue.contentType_, aValue.body_, aValue.headers_);
 }
 
 template<class Archive>
@@ -150,11 +165,25 @@
            aValue.kinds_);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, RoutePart& aValue)
+{
+  aArchive(aValue.service_, aValue.weight_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, RouteSpec& aValue)
+{
+  aArchive(aValue.host_, aValue.prefix_, aValue.kind_, aValue.targetLatency_, aValue.parts_);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, Configuration& aValue)
 {
-  aArchive(aValue.version_, aValue.services_, aValue.drained_);
+  aArchive(aValue.version_, aValue.services_, aValue.drained_, aValue.routes_);
 }
 
 template<class Archive>
--- a/packages/wire/tests/AnyValue.h
+++ b/packages/wire/tests/AnyValue.h
@@ -66,7 +66,7 @@
 consteval std::size_t
 CountFields()
 {
-  static_assert(std::is_aggregate_v<T> && sizeof...(Found) <= 10);
+  static_assert(std::is_aggregate_v<T> && sizeof...(Found) <= 11);
   if constexpr (std::is_empty_v<T>) {
     return 0;
   } else if constexpr (requires { T{ Found{}..., Anything{} }; }) {
@@ -108,9 +108,12 @@
   } else if constexpr (kCount == 8) {
     auto& [a, b, c, d, e, f, g, h] = aValue;
     return std::tie(a, b, c, d, e, f, g, h);
-  } else {
+  } else if constexpr (kCount == 10) {
     auto& [a, b, c, d, e, f, g, h, i, j] = aValue;
     return std::tie(a, b, c, d, e, f, g, h, i, j);
+  } else {
+    auto& [a, b, c, d, e, f, g, h, i, j, k] = aValue;
+    return std::tie(a, b, c, d, e, f, g, h, i, j, k);
   }
 }
 
