Separate a call from the request that it only seems to belong to

Cause: calls of a backend server are linked to a running request by their deadline. A call that was linked to the wrong one was ended with it, as 502. Replay: routed_calls::call_outlives_the_request_that_seems_to_be_its_parent failed before. Ruled out: lost connections between nodes (no peer_lost lines).

Change: the link lends importance and click only. A call waits 60 ms beyond its route's time for the proof that it has not run.

--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -14,14 +14,14 @@
 struct LoopCounters
 {
   std::uint64_t invalidRequests_ = 0;
-  /** Reports of the backend server that could not be read. */
-  std::uint64_t invalidReports_ = 0;
   std::uint64_t invalidPeerMessages_ = 0;
   std::uint64_t invalidDatagrams_ = 0;
   std::uint64_t undecodableLogRecords_ = 0;
   std::uint64_t controlBytesSent_ = 0;
   std::uint64_t controlBytesReceived_ = 0;
   std::size_t callerConnections_ = 0;
+  /** Reports of the backend server that could not be read. */
+  std::uint64_t invalidReports_ = 0;
 };
 
 /** Body of GET /metrics. */
--- a/packages/node/tests/Loopback.h
+++ b/packages/node/tests/Loopback.h
@@ -41,6 +41,13 @@
 
   void Close() { socket_.close(); }
 
+  /** Ends the connection with a reset instead of an orderly end. */
+  void Reset()
+  {
+    socket_.setLinger(true, 0);
+    socket_.close();
+  }
+
   /** Reads what has arrived. */
   void Read()
   {
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -126,6 +126,9 @@
   bool ownsPool_ = false;
   Instant startedAt_;
   Instant deadline_;
+  /** How long after the deadline the outcome of an attempt is waited for: with it the caller learns
+   * whether the request ran. */
+  Duration outcomeGrace_{ 0 };
   std::map<AttemptId, Attempt> attempts_;
   std::vector<NodeId> tried_;
   /** Whether any attempt may have reached a backend server. */
@@ -134,6 +137,9 @@
   std::optional<Instant> repeatAt_;
   std::uint32_t ticketRepeats_ = 0;
   std::uint32_t redirects_ = 0;
+  /** The request on the own backend server that probably makes this call, by its deadline. It lends
+   * its importance and click to the call and nothing else: the call may belong to another one. */
+  std::optional<RequestId> likelyParent_;
   /** Attempts that were refused before they reached a backend server. */
   std::uint32_t replacements_ = 0;
 
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -236,6 +236,9 @@
   if (!delay || aContext.now_ - first.startedAt_ < *delay) {
     return;
   }
+  if (!HasToken(aState.budget_, call.pool_)) {
+    return;
+  }
   const RouteQuery query = MakeRouteQuery(aContext, call);
   const RouteDecision choice = ChooseTarget(
     aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
@@ -398,7 +401,7 @@
       continue;
     }
     const OutboundCall& call = found->second;
-    if (aContext.now_ >= call.deadline_) {
+    if (aContext.now_ >= call.deadline_ + call.outcomeGrace_) {
       EndAtDeadline(aState, aContext, id);
     } else if (call.repeatAt_ && aContext.now_ >= *call.repeatAt_) {
       aState.counters_.Add(CounterId::kTicketRepeats);
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -180,9 +180,9 @@
     aRefusal.verdict_ = Verdict::kMayHaveRun;
   }
   const bool isNotRun = aRefusal.verdict_ == Verdict::kNotRun;
-  if (isNotRun && call.origin_.parent_) {
-    NoteRefusedDeeperCall(
-      aState, *call.origin_.parent_, { call.request_.service_, call.request_.kind_ });
+  const auto& parent = call.likelyParent_ ? call.likelyParent_ : call.origin_.parent_;
+  if (isNotRun && parent) {
+    NoteRefusedDeeperCall(aState, *parent, { call.request_.service_, call.request_.kind_ });
   }
   if (isNotRun && !aRefusal.retryAfter_) {
     aRefusal.retryAfter_ = aContext.random_.Jitter(RetryAfterHint(aState.admission_));
--- a/packages/policy/RetryBudget.cpp
+++ b/packages/policy/RetryBudget.cpp
@@ -74,14 +74,20 @@
   return aState;
 }
 
+bool
+HasToken(const RetryBudget& aState, PoolId aPool)
+{
+  const auto pool = aState.pools_.find(aPool);
+  return pool != aState.pools_.end() && pool->second > 0 && aState.nodeCredit_ >= kCreditUnit;
+}
+
 Step<RetryBudget, bool>
 SpendToken(RetryBudget aState, PoolId aPool)
 {
-  const auto pool = aState.pools_.find(aPool);
-  if (pool == aState.pools_.end() || pool->second == 0 || aState.nodeCredit_ < kCreditUnit) {
+  if (!HasToken(aState, aPool)) {
     return { std::move(aState), false };
   }
-  pool->second -= 1;
+  aState.pools_.at(aPool) -= 1;
   aState.nodeCredit_ -= kCreditUnit;
   return { std::move(aState), true };
 }
--- a/packages/policy/RetryBudget.h
+++ b/packages/policy/RetryBudget.h
@@ -79,6 +79,10 @@
 RetryBudget
 OpenPool(RetryBudget aState, PoolId aPool, std::uint32_t aTokens);
 
+/** Whether SpendToken() would succeed. */
+bool
+HasToken(const RetryBudget& aState, PoolId aPool);
+
 /** Takes one token for a retry or hedge; false when the pool is empty or the node's share is used.
  */
 Step<RetryBudget, bool>
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -12,6 +12,10 @@
 /** Rounding of two deadlines to milliseconds, and the delays of two messages on one VM. */
 constexpr Duration kDeadlineTolerance = std::chrono::milliseconds(20);
 
+/** A round trip between two nodes, and the periodic check for deadlines on both. A route's time may
+ * be passed by a quarter of a second. */
+constexpr Duration kOutcomeGrace = std::chrono::milliseconds(60);
+
 Refusal
 NotRun(Reason aReason)
 {
@@ -33,6 +37,7 @@
 MakeRequest(const NodeState& aState,
             ReduceContext& aContext,
             const CallerRequest& aOrigin,
+            const std::optional<RequestId>& aLikelyParent,
             const RouteSpec& aRoute,
             const std::string& aService)
 {
@@ -45,8 +50,8 @@
   request.body_ = aOrigin.body_;
   request.routed_ = aOrigin.routed_;
   request.routed_->originService_ = aState.settings_.identity_.service_;
-  if (const auto& parent = aOrigin.parent_) {
-    const Request& outer = aState.inbound_.requests_.at(*parent).request_;
+  if (aLikelyParent) {
+    const Request& outer = aState.inbound_.requests_.at(*aLikelyParent).request_;
     request.clickId_ = outer.clickId_;
     request.importance_ = outer.importance_;
     request.depth_ = static_cast<std::uint8_t>(outer.depth_ + 1);
@@ -69,11 +74,13 @@
   call.startedAt_ = aContext.now_;
   call.deadline_ = aContext.now_ + std::min(origin.deadline_.value_or(aRoute.kind_.deadline_),
                                             aRoute.kind_.deadline_);
+  const Instant callerDeadline = aContext.now_ + origin.deadline_.value_or(aRoute.kind_.deadline_);
+  call.outcomeGrace_ = std::clamp(callerDeadline - call.deadline_, Duration{ 0 }, kOutcomeGrace);
   if (origin.fromBackend_) {
     const Instant ownDeadline = aContext.now_ + origin.deadline_.value_or(Duration{ 0 });
-    call.origin_.parent_ = FindParentByDeadline(aState.inbound_, ownDeadline);
+    call.likelyParent_ = FindParentByDeadline(aState.inbound_, ownDeadline);
   }
-  call.request_ = MakeRequest(aState, aContext, call.origin_, aRoute, aService);
+  call.request_ = MakeRequest(aState, aContext, origin, call.likelyParent_, aRoute, aService);
   call.origin_.body_.clear();
   call.origin_.routed_.reset();
   call.idempotent_ = aRoute.kind_.idempotent_;
--- /dev/null
+++ b/packages/policy/tests/BackendReportsTest.cpp
@@ -0,0 +1,67 @@
+/** \file
+ * Guards against reports of an earlier run, or late ones, that change what is known of the present
+ * run of the backend server.
+ */
+#include "policy/BackendReports.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+
+namespace {
+
+const Instant kNow{ std::chrono::seconds(100) };
+
+BackendReport
+Report(const std::string& aInstance, std::uint64_t aStarted, std::uint64_t aSequence)
+{
+  return { aInstance, aStarted, aSequence, "pricing", "10.0.0.1:80", 8, false, {} };
+}
+
+} // namespace
+
+Test(backend_reports, only_newer_reports_are_taken)
+{
+  const struct
+  {
+    const char* name_;
+    BackendReport report_;
+    ReportVerdict verdict_;
+  } cases[] = {
+    { "next", Report("i-1", 50, 4), ReportVerdict::kTaken },
+    { "late", Report("i-1", 50, 2), ReportVerdict::kOutdated },
+    { "twice", Report("i-1", 50, 3), ReportVerdict::kOutdated },
+    { "earlier run under the id", Report("i-1", 40, 9), ReportVerdict::kOutdated },
+    { "earlier run under another id", Report("i-0", 40, 9), ReportVerdict::kOutdated },
+    { "later run under the id", Report("i-1", 60, 1), ReportVerdict::kNewRun },
+    { "later run under another id", Report("i-2", 60, 1), ReportVerdict::kNewRun },
+    { "other id, same start", Report("i-2", 50, 9), ReportVerdict::kOutdated },
+  };
+  for (const auto& row : cases) {
+    auto known = TakeReport(std::nullopt, Report("i-1", 50, 3), kNow).state_;
+    cr_expect(TakeReport(known, row.report_, kNow).result_ == row.verdict_, "%s", row.name_);
+  }
+}
+
+Test(backend_reports, leave_of_an_earlier_run_is_ignored)
+{
+  const auto known = TakeReport(std::nullopt, Report("i-1", 50, 3), kNow).state_;
+  cr_expect_not(IsLeaving(TakeLeave(known, { "i-0", 0 }).state_), "another id");
+  cr_expect_not(IsLeaving(TakeLeave(known, { "i-1", 40 }).state_), "an earlier start");
+  cr_expect(IsLeaving(TakeLeave(known, { "i-1", 50 }).state_));
+  cr_expect(IsLeaving(TakeLeave(known, { "i-1", 0 }).state_), "no start given");
+  const auto again = TakeReport(TakeLeave(known, { "i-1", 50 }).state_, Report("i-1", 60, 1), kNow);
+  cr_expect_not(IsLeaving(again.state_), "a later run has not left");
+}
+
+Test(backend_reports, silence_and_failed_connections_end_the_use)
+{
+  auto known = TakeReport(std::nullopt, Report("i-1", 50, 3), kNow).state_;
+  cr_expect(IsUsable(known, kNow + kReportSilence - Duration(1)));
+  cr_expect_not(IsUsable(known, kNow + kReportSilence));
+  known->failedConnects_ = kFailedConnectsToLose;
+  cr_expect_not(IsUsable(known, kNow));
+  known = TakeReport(known, Report("i-1", 50, 4), kNow).state_;
+  cr_expect(IsUsable(known, kNow), "a report shows that it is back");
+  cr_expect_not(IsUsable(std::nullopt, kNow));
+}
--- /dev/null
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -0,0 +1,181 @@
+/** \file
+ * Promises of routed requests: at most one run of what may not be repeated, true refusals, and no
+ * request that is kept past the time of its route.
+ */
+#include "policy/tests/RoutedWorld.h"
+
+#include "policy/RoutedCalls.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+using namespace fulmarway::test;
+
+namespace {
+
+/** The one request that is on a backend server. */
+std::pair<std::size_t, BackendRequest>
+OnlyRequest(const RoutedWorld& aWorld)
+{
+  const auto requests = aWorld.BackendRequests();
+  cr_assert_eq(requests.size(), 1U);
+  return requests.front();
+}
+
+} // namespace
+
+/** Guards against a second run of a request whose answer was lost. */
+Test(routed_calls, lost_answer_of_a_request_that_may_not_be_repeated_ends_it)
+{
+  for (const bool isSafe : { true, false }) {
+    RoutedWorld world(3);
+    const ExchangeId exchange = world.Ask(0, isSafe ? "/safe/1" : "/unsafe/1");
+    const auto [node, request] = OnlyRequest(world);
+    world.Give(node, BackendFailed{ request.id_, true });
+    cr_expect_eq(world.BackendRequests().size(), isSafe ? 2U : 1U);
+    const auto reply = world.ReplyTo(0, exchange);
+    cr_expect_eq(reply.has_value(), !isSafe);
+    cr_expect(isSafe || reply->outcome_.verdict_ == Verdict::kMayHaveRun);
+  }
+}
+
+/** Guards against refusals that give up work which another backend server could have taken. */
+Test(routed_calls, refused_request_is_sent_to_another_backend_server)
+{
+  RoutedWorld world(3);
+  const ExchangeId exchange = world.Ask(0, "/unsafe/1");
+  const auto [first, request] = OnlyRequest(world);
+  world.Give(first, BackendAnswered{ request.id_, Answer{ 503 }, true });
+  const auto requests = world.BackendRequests();
+  cr_assert_eq(requests.size(), 2U);
+  cr_expect(requests[0].first != requests[1].first);
+  cr_expect_not(world.ReplyTo(0, exchange).has_value());
+}
+
+Test(routed_calls, attempts_end_with_the_number_of_the_route)
+{
+  RoutedWorld world(3);
+  const ExchangeId exchange = world.Ask(0, "/unsafe/1");
+  for (int i = 0; i < 3; ++i) {
+    const auto requests = world.BackendRequests();
+    for (const auto& [node, request] : requests) {
+      world.Give(node, BackendAnswered{ request.id_, Answer{ 503 }, true });
+    }
+  }
+  cr_expect_eq(world.BackendRequests().size(), 2U, "one extra attempt");
+  const auto reply = world.ReplyTo(0, exchange);
+  cr_assert(reply.has_value());
+  cr_expect(reply->outcome_.verdict_ == Verdict::kNotRun && reply->outcome_.retryAfter_);
+}
+
+/** Guards against a 404 by a node that has only just started, and for what it does not know. */
+Test(routed_calls, unknown_routes_are_named_only_with_a_configuration)
+{
+  RoutedWorld world(1);
+  const ExchangeId unknown = world.Ask(0, "/other/1");
+  cr_expect(world.ReplyTo(0, unknown)->outcome_.reason_ == Reason::kUnknownKind);
+  world.nodes_[0].log_ = {};
+  const ExchangeId early = world.Ask(0, "/other/1");
+  cr_expect(world.ReplyTo(0, early)->outcome_.reason_ == Reason::kNoConfiguration);
+}
+
+Test(routed_calls, answer_comes_by_the_time_of_the_route)
+{
+  for (const std::string uri : { "/safe/1", "/unsafe/1" }) {
+    RoutedWorld world(2);
+    const ExchangeId exchange = world.Ask(0, uri);
+    cr_expect_leq(OnlyRequest(world).second.remaining_.count(), 800'000, "of 5 s of the caller");
+    world.Run(std::chrono::milliseconds(780));
+    cr_expect_not(world.ReplyTo(0, exchange).has_value());
+    world.Run(std::chrono::milliseconds(100));
+    const auto reply = world.ReplyTo(0, exchange);
+    cr_assert(reply.has_value());
+    cr_expect(reply->outcome_.verdict_ == Verdict::kMayHaveRun);
+  }
+}
+
+/** Guards against work that goes on for a caller that has left. */
+Test(routed_calls, request_of_a_caller_that_left_is_withdrawn)
+{
+  RoutedWorld world(2);
+  const ExchangeId exchange = world.Ask(0, "/unsafe/1");
+  const auto [node, request] = OnlyRequest(world);
+  world.Give(0, CallerDisconnected{ exchange });
+  const auto cancelled = world.Effects<CancelBackend>(node);
+  cr_assert_eq(cancelled.size(), 1U);
+  cr_expect(cancelled.front().request_ == request.id_);
+}
+
+/** Guards against requests that reach a backend server too long after it said that it leaves. */
+Test(routed_calls, leaving_backend_server_gets_nothing_after_the_grace)
+{
+  RoutedWorld world(1);
+  for (std::uint32_t i = 0; i < kRoutedSlots + 3; ++i) {
+    world.Ask(0, "/safe/1");
+  }
+  const auto running = world.BackendRequests();
+  cr_assert_eq(running.size(), kRoutedSlots, "the others are queued");
+  world.draining_ = { 0 };
+  BackendReport leaving = MakeReport(1000);
+  leaving.draining_ = true;
+  world.reports_ = false;
+  world.Give(0, BackendReported{ leaving });
+  world.Run(std::chrono::milliseconds(1600));
+  for (const auto& [node, request] : running) {
+    world.Give(node, BackendAnswered{ request.id_, Answer{ 200 }, false });
+  }
+  world.Ask(0, "/safe/1");
+  cr_expect_eq(world.BackendRequests().size(), kRoutedSlots);
+}
+
+/** Guards against a stop that refuses connections while callers are still sent to the node, or that
+ * lasts until it is killed. */
+Test(routed_calls, stopping_node_takes_connections_until_callers_are_elsewhere)
+{
+  RoutedWorld world(2);
+  world.Give(0, StopRequested{});
+  cr_expect_eq(world.Effects<CloseAfterReplies>(0).size(), 1U);
+  world.Run(std::chrono::milliseconds(2400));
+  cr_expect(world.Effects<StopAccepting>(0).empty());
+  const ExchangeId exchange = world.Ask(0, "/safe/1");
+  cr_expect(!world.ReplyTo(0, exchange).has_value(), "served through the other node");
+  world.Run(std::chrono::milliseconds(200));
+  cr_expect_eq(world.Effects<StopAccepting>(0).size(), 1U);
+  world.Run(std::chrono::milliseconds(2500));
+  cr_expect_not(world.Effects<ExitProcess>(0).empty());
+}
+
+/** Guards against calls that end with a request which they only seem to belong to: deadlines of two
+ * requests can be equal. */
+Test(routed_calls, call_outlives_the_request_that_seems_to_be_its_parent)
+{
+  RoutedWorld world(2);
+  world.Ask(0, "/safe/1");
+  const auto [node, parent] = OnlyRequest(world);
+  CallerRequest call;
+  call.clickId_ = "deeper";
+  call.deadline_ = parent.remaining_;
+  call.fromBackend_ = true;
+  call.routed_ = RoutedPart{ "host", "/unsafe/1", {}, "" };
+  const ExchangeId exchange{ 1000 };
+  world.Give(node, CallerRequestArrived{ exchange, call });
+  world.Give(node, BackendAnswered{ parent.id_, Answer{ 200 }, false });
+  cr_expect_not(world.ReplyTo(node, exchange).has_value());
+}
+
+Test(routed_calls, calls_of_a_backend_server_belong_to_the_request_with_their_deadline)
+{
+  InboundState inbound;
+  for (const int milliseconds : { 500, 700 }) {
+    InboundRequest request;
+    request.phase_ = InboundPhase::kRunning;
+    request.deadline_ = Instant{ std::chrono::milliseconds(milliseconds) };
+    inbound.requests_.emplace(RequestId{ static_cast<std::uint64_t>(milliseconds) }, request);
+  }
+  const auto find = [&](int aMilliseconds) {
+    return FindParentByDeadline(inbound, Instant{ std::chrono::milliseconds(aMilliseconds) });
+  };
+  cr_expect(find(498) == RequestId{ 500 });
+  cr_expect(find(701) == RequestId{ 700 });
+  cr_expect(find(600) == std::nullopt);
+}
--- a/packages/policy/tests/Session.h
+++ b/packages/policy/tests/Session.h
@@ -150,6 +150,10 @@
   void Run(NodeIndex aNode, const ReplyToCommand& aEffect);
   void Run(NodeIndex aNode, const ReplyInForce& aEffect);
   void Run(NodeIndex aNode, const LogLine& aEffect);
+  /** These sessions use health checks and the log. */
+  void Run(NodeIndex, const ForgetBackendConnections&) {}
+  void Run(NodeIndex, const AskStore&) {}
+  void Run(NodeIndex, const CloseAfterReplies&) {}
   void Run(NodeIndex aNode, const StopAccepting& aEffect);
   void Run(NodeIndex aNode, const ExitProcess& aEffect);
 
--- /dev/null
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -0,0 +1,91 @@
+/** \file
+ * Use of the store: nodes find each other, and configurations take effect only upwards, also while
+ * the store is away.
+ */
+#include "policy/tests/RoutedWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+using namespace fulmarway::test;
+
+namespace {
+
+std::vector<StoreRequest>
+Asked(const RoutedWorld& aWorld, StoreTask aTask)
+{
+  std::vector<StoreRequest> asked;
+  for (const AskStore& ask : aWorld.Effects<AskStore>(0)) {
+    if (TaskOf(ask.request_) == aTask) {
+      asked.push_back(ask.request_);
+    }
+  }
+  return asked;
+}
+
+} // namespace
+
+/** Guards against nodes that never find each other: without seeds only the store names them. */
+Test(store_sync, node_asks_for_everything_at_its_start)
+{
+  RoutedWorld world(1);
+  cr_expect_eq(Asked(world, StoreTask::kAnnouncement).size(), 1U);
+  cr_expect_geq(Asked(world, StoreTask::kListing).size(), 1U);
+  cr_expect_geq(Asked(world, StoreTask::kConfiguration).size(), 1U);
+}
+
+/** Guards against a configuration that is undone by an older one. */
+Test(store_sync, versions_never_fall)
+{
+  RoutedWorld world(1);
+  world.Configure(0, MakeRoutedConfiguration(7));
+  world.Configure(0, MakeRoutedConfiguration(5));
+  cr_expect_eq(ConfigOf(world.nodes_[0]).version_, 7U);
+}
+
+/** Guards against a node that keeps an old configuration because only it cannot reach the store. */
+Test(store_sync, configuration_spreads_to_nodes_that_the_store_refuses)
+{
+  RoutedWorld world(4);
+  for (std::size_t i = 1; i < 4; ++i) {
+    world.Give(i, StoreAnswered{ StoreTask::kConfiguration, StoreFailed{ "status 503" } });
+  }
+  world.Configure(0, MakeRoutedConfiguration(9));
+  world.Run(std::chrono::milliseconds(1500));
+  for (const NodeState& node : world.nodes_) {
+    cr_expect_eq(ConfigOf(node).version_, 9U);
+    cr_expect_eq(ConfigOf(node).routes_.size(), 2U);
+  }
+}
+
+/** Guards against a store that is asked without a pause while it is away, and against a node that
+ * does not come back to it. */
+Test(store_sync, failed_calls_are_repeated_after_a_pause)
+{
+  RoutedWorld world(1);
+  const StoreAnswered failed{ StoreTask::kConfiguration, StoreFailed{ "no answer" } };
+  const auto before = Asked(world, StoreTask::kConfiguration).size();
+  world.Give(0, failed);
+  std::size_t asked = before;
+  for (int i = 0; i < 500; ++i) {
+    if (Asked(world, StoreTask::kConfiguration).size() > asked) {
+      asked = Asked(world, StoreTask::kConfiguration).size();
+      world.Give(0, failed);
+    }
+    world.Run(kTickInterval);
+  }
+  cr_expect_geq(asked - before, 6U, "in 10 s");
+  cr_expect_leq(asked - before, 25U, "in 10 s");
+}
+
+Test(store_sync, lost_position_leads_to_a_new_reading)
+{
+  RoutedWorld world(1);
+  world.Run(kTickInterval);
+  cr_assert(
+    std::holds_alternative<AwaitConfiguration>(Asked(world, StoreTask::kConfiguration).back()));
+  world.Give(0, StoreAnswered{ StoreTask::kConfiguration, ConfigurationRead{} });
+  world.Run(kTickInterval);
+  cr_expect(
+    std::holds_alternative<ReadConfiguration>(Asked(world, StoreTask::kConfiguration).back()));
+}
