Log each decision about a request, with a bound on the volume

Cause: on-call engineers have only logs and metrics, and the node logged only changes of its own state.

Change: refusals, failures and repeated attempts are logged with request id, click, reason, deadline left and the target's reported load; what went well is logged for one request in 64, drawn by the id, so that all nodes log the same requests. At most 100 lines of one event in a second, what is left out is counted. Logs go to standard output, a full pipe drops lines.

--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -1,6 +1,7 @@
 /** \file
  * The node process.
  */
+#include "LogOutput.h"
 #include "node/Node.h"
 #include "platform/Interface.h"
 
@@ -11,8 +12,8 @@
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
+#include <memory>
 #include <random>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
@@ -69,7 +70,7 @@
 void
 SetUpLogging(const std::string& aLevel)
 {
-  auto logger = spdlog::stdout_logger_st("fulmarwayd");
+  auto logger = std::make_shared<spdlog::logger>("fulmarwayd", std::make_shared<LogOutput>());
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
   logger->set_level(spdlog::level::from_str(aLevel));
   logger->flush_on(spdlog::level::info);
--- a/packages/model/Call.h
+++ b/packages/model/Call.h
@@ -40,6 +40,8 @@
   std::vector<HeaderField> headers_;
   /** Service of the VM on which the request began. */
   std::string originService_;
+  /** Id of this attempt of the caller, also in `headers_`. */
+  std::string requestId_;
 
   bool operator==(const RoutedPart&) const = default;
 };
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -152,6 +152,8 @@
   };
   add("invalid_requests_total", "Malformed HTTP requests", aLoop.invalidRequests_);
   add("invalid_reports_total", "Unreadable reports of the backend server", aLoop.invalidReports_);
+  add(
+    "omitted_log_lines_total", "Log lines above the bound of their event", aLoop.omittedLogLines_);
   add("invalid_peer_messages_total", "Dropped TCP messages", aLoop.invalidPeerMessages_);
   add("invalid_datagrams_total", "Dropped UDP messages", aLoop.invalidDatagrams_);
   add("undecodable_log_records_total", "Log records passed over", aLoop.undecodableLogRecords_);
--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -22,6 +22,8 @@
   std::size_t callerConnections_ = 0;
   /** Reports of the backend server that could not be read. */
   std::uint64_t invalidReports_ = 0;
+  /** Log lines that were left out because there were too many of one event. */
+  std::uint64_t omittedLogLines_ = 0;
 };
 
 /** Body of GET /metrics. */
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -189,6 +189,9 @@
   } else {
     CheckBackend();
   }
+  for (const OmittedLines& omitted : logLimiter_.TakeOmitted(now_)) {
+    spdlog::warn("event=log_lines_omitted of={} count={}", omitted.event_, omitted.count_);
+  }
   Dispatch(Tick{});
 }
 
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -6,6 +6,7 @@
 #include "node/AdminApi.h"
 #include "node/HttpClient.h"
 #include "node/HttpServer.h"
+#include "node/LogLimiter.h"
 #include "node/Metrics.h"
 #include "node/NodeInterface.h"
 #include "node/PeerLinks.h"
@@ -102,6 +103,7 @@
   std::map<StoreTask, StoreRequest> storeCalls_;
   Poco::Net::DatagramSocket gossip_;
   BackendHealth health_;
+  LogLimiter logLimiter_;
   Instant nextHealthCheckAt_;
   bool healthCheckRunning_ = false;
   std::deque<EventBody> queue_;
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -151,6 +151,10 @@
 void
 Node::RunEffect(LogLine& aEffect)
 {
+  if (!logLimiter_.Admit(aEffect.event_, now_)) {
+    ++counters_.omittedLogLines_;
+    return;
+  }
   std::string fields;
   for (const auto& [name, value] : aEffect.fields_) {
     fields += ' ' + name + '=' + value;
--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -35,6 +35,7 @@
   "log_appends_total",
   "log_read_failures_total",
   "log_reads_total",
+  "omitted_log_lines_total",
   "peer_connections_lost_total",
   "refusals_total",
   "retries_total",
@@ -122,7 +123,7 @@
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     state.counters_.Add(static_cast<CounterId>(index), 1000 + index);
   }
-  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7, 8 };
+  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7, 8, 9 };
   const Scrape scrape = Read(RenderMetrics(state, loop));
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     const auto name = std::string(CounterName(static_cast<CounterId>(index))) + "_total";
@@ -133,7 +134,7 @@
     { "invalid_datagrams_total", "3" },  { "undecodable_log_records_total", "4" },
     { "control_sent_bytes_total", "5" }, { "control_received_bytes_total", "6" },
     { "caller_connections", "7" },       { "backend_healthy", "0" },
-    { "invalid_reports_total", "8" },
+    { "invalid_reports_total", "8" },    { "omitted_log_lines_total", "9" },
   };
   for (const auto& [name, value] : expected) {
     cr_expect_eq(scrape.values_.at(name), value, "%s", name.c_str());
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/InboundReplies.h"
 #include "policy/Lifecycle.h"
+#include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
 
 #include <algorithm>
@@ -55,6 +56,7 @@
   }
   request.phase_ = InboundPhase::kRunning;
   request.startedAt_ = aContext.now_;
+  LogInboundStarted(aContext, aState, request);
   aState.counters_.Add(CounterId::kBackendStarts);
   aContext.effects_.push_back(
     CallBackend{ { aId,
--- a/packages/policy/InboundReplies.cpp
+++ b/packages/policy/InboundReplies.cpp
@@ -1,6 +1,7 @@
 #include "policy/InboundReplies.h"
 
 #include "policy/Outbound.h"
+#include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
 
 #include <algorithm>
@@ -98,6 +99,7 @@
                     const Request& aRequest,
                     const Refusal& aRefusal)
 {
+  LogInboundFailed(aContext, aState, aRequest, aRefusal);
   const bool isDeclared = FindKind(ConfigOf(aState), aRequest.service_, aRequest.kind_) != nullptr;
   NoteRefusal(aState.counters_,
               { RefusalSide::kInbound,
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -3,6 +3,7 @@
 #include "policy/CallerRequests.h"
 #include "policy/Inbound.h"
 #include "policy/OutboundCalls.h"
+#include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
 #include "policy/RoutedCalls.h"
 
@@ -207,8 +208,12 @@
     ScheduleTicketRepeat(aContext, call);
     return;
   }
-  const Verdict verdict = aWritten ? Verdict::kMayHaveRun : Verdict::kNotRun;
-  RetryOrEnd(aState, aContext, *callId, { verdict, Reason::kConnectionLost, std::nullopt });
+  const Refusal refusal{ aWritten ? Verdict::kMayHaveRun : Verdict::kNotRun,
+                         Reason::kConnectionLost,
+                         std::nullopt };
+  LogAttemptEnded(
+    aContext, call, attempt, PeerAddressOf(aState, attempt.target_), refusal, nullptr);
+  RetryOrEnd(aState, aContext, *callId, refusal);
 }
 
 void
@@ -359,6 +364,12 @@
   aState.budget_ =
     SettleLoan(std::move(aState.budget_), aRefused.attempt_, aRefused.returnedTokens_);
   OutboundCall& call = aState.outbound_.calls_.at(*callId);
+  LogAttemptEnded(aContext,
+                  call,
+                  attempt,
+                  PeerAddressOf(aState, attempt.target_),
+                  aRefused.refusal_,
+                  &aRefused.load_);
   const bool isNotRun = aRefused.refusal_.verdict_ == Verdict::kNotRun;
   ReportAttempt(aState,
                 aContext,
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -1,6 +1,7 @@
 #include "policy/OutboundCalls.h"
 
 #include "policy/Inbound.h"
+#include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
 
 namespace fulmarway {
@@ -75,6 +76,7 @@
   aState.outbound_.byAttempt_.emplace(attempt, aCall);
   aState.counters_.Add(CounterId::kAttempts);
   aState.routing_ = NoteAttemptStart(std::move(aState.routing_), aTarget, aContext.now_);
+  LogAttemptSent(aContext, call, attempt, PeerAddressOf(aState, aTarget));
   const std::uint32_t tokens =
     Apply(aState.budget_, LendTokens(std::move(aState.budget_), call.pool_, attempt));
   SendCall(aState,
@@ -164,6 +166,7 @@
 {
   const OutboundCall call = RemoveCall(aState, aContext, aCall);
   aState.counters_.Add(CounterId::kCallsAnswered);
+  LogCallAnswered(aContext, call, aAnswer);
   CallerReply reply;
   reply.outcome_ = { Verdict::kRan, Reason::kNone, std::nullopt };
   reply.answer_ = std::move(aAnswer);
@@ -187,6 +190,7 @@
   if (isNotRun && !aRefusal.retryAfter_) {
     aRefusal.retryAfter_ = aContext.random_.Jitter(RetryAfterHint(aState.admission_));
   }
+  LogCallFailed(aContext, call, aRefusal);
   NoteRefusal(aState.counters_,
               { RefusalSide::kOutbound,
                 call.request_.service_,
@@ -226,6 +230,7 @@
                 aRefusal.reason_ },
               request.clickId_.value_or(""),
               aContext.now_);
+  LogRequestRefused(aContext, request, aRefusal);
   CallerReply reply;
   reply.outcome_ = aRefusal;
   reply.clickId_ = request.clickId_.value_or("");
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -156,7 +156,7 @@
   call.clickId_ = "deeper";
   call.deadline_ = parent.remaining_;
   call.fromBackend_ = true;
-  call.routed_ = RoutedPart{ "host", "/unsafe/1", {}, "" };
+  call.routed_ = RoutedPart{ "host", "/unsafe/1", {}, "", "deeper" };
   const ExchangeId exchange{ 1000 };
   world.Give(node, CallerRequestArrived{ exchange, call });
   world.Give(node, BackendAnswered{ parent.id_, Answer{ 200 }, false });
--- a/packages/policy/tests/RoutedWorld.h
+++ b/packages/policy/tests/RoutedWorld.h
@@ -123,7 +123,7 @@
     CallerRequest request;
     request.clickId_ = "id-" + std::to_string(++nextExchange_);
     request.deadline_ = std::chrono::seconds(5);
-    request.routed_ = RoutedPart{ "host", aUri, {}, "" };
+    request.routed_ = RoutedPart{ "host", aUri, {}, "", *request.clickId_ };
     const ExchangeId exchange{ nextExchange_ };
     Give(aNode, CallerRequestArrived{ exchange, std::move(request) });
     return exchange;
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -88,7 +88,7 @@
 void
 serialize(Archive& aArchive, RoutedPart& aValue)
 {
-  aArchive(aValue.host_, aValue.uri_, aValue.headers_, aValue.originService_);
+  aArchive(aValue.host_, aValue.uri_, aValue.headers_, aValue.originService_, aValue.requestId_);
 }
 
 template<class Archive>
