Link a call to its parent by the id that it is derived from

Cause: calls were linked to a running request by deadline alone.

Change: the id decides where a running request has it, else the deadline.

--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -147,6 +147,9 @@
   } else {
     aState.budget_ = OpenPool(std::move(aState.budget_), PoolId{ aId.value_ }, aCall.lentTokens_);
   }
+  if (request.request_.routed_) {
+    aState.inbound_.byCallerId_[request.request_.routed_->requestId_] = aId;
+  }
   aState.inbound_.requests_.emplace(aId, std::move(request));
   aState.inbound_.byRequester_.emplace(aRequester, aId);
 }
--- a/packages/policy/InboundReplies.cpp
+++ b/packages/policy/InboundReplies.cpp
@@ -121,6 +121,12 @@
   }
   RemovedRequest removed{ std::move(found->second), 0 };
   aState.inbound_.requests_.erase(found);
+  if (const auto& routed = removed.request_.request_.routed_) {
+    const auto named = aState.inbound_.byCallerId_.find(routed->requestId_);
+    if (named != aState.inbound_.byCallerId_.end() && named->second == aId) {
+      aState.inbound_.byCallerId_.erase(named);
+    }
+  }
   if (removed.request_.requester_) {
     aState.inbound_.byRequester_.erase(*removed.request_.requester_);
   }
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -98,6 +98,8 @@
 {
   std::unordered_map<RequestId, InboundRequest> requests_;
   std::map<Requester, RequestId> byRequester_;
+  /** Routed requests by the id that their caller gave them; of several with one id the latest. */
+  std::unordered_map<std::string, RequestId> byCallerId_;
   CallDependencies dependencies_;
 
   bool operator==(const InboundState&) const = default;
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -59,6 +59,21 @@
   return request;
 }
 
+std::optional<RequestId>
+FindByDeadline(const InboundState& aInbound, Instant aDeadline)
+{
+  std::optional<RequestId> nearest;
+  Duration smallest = kDeadlineTolerance;
+  for (const auto& [id, request] : aInbound.requests_) {
+    const Duration difference = std::chrono::abs(request.deadline_ - aDeadline);
+    if (request.phase_ == InboundPhase::kRunning && difference <= smallest) {
+      smallest = difference;
+      nearest = id;
+    }
+  }
+  return nearest;
+}
+
 OutboundCall
 MakeCall(NodeState& aState,
          ReduceContext& aContext,
@@ -78,7 +93,7 @@
   call.outcomeGrace_ = std::clamp(callerDeadline - call.deadline_, Duration{ 0 }, kOutcomeGrace);
   if (origin.fromBackend_) {
     const Instant ownDeadline = aContext.now_ + origin.deadline_.value_or(Duration{ 0 });
-    call.likelyParent_ = FindParentByDeadline(aState.inbound_, ownDeadline);
+    call.likelyParent_ = FindLikelyParent(aState.inbound_, origin.routed_->requestId_, ownDeadline);
   }
   call.request_ = MakeRequest(aState, aContext, origin, call.likelyParent_, aRoute, aService);
   call.origin_.body_.clear();
@@ -117,18 +132,14 @@
 }
 
 std::optional<RequestId>
-FindParentByDeadline(const InboundState& aInbound, Instant aDeadline)
+FindLikelyParent(const InboundState& aInbound, std::string_view aCallId, Instant aDeadline)
 {
-  std::optional<RequestId> nearest;
-  Duration smallest = kDeadlineTolerance;
-  for (const auto& [id, request] : aInbound.requests_) {
-    const Duration difference = std::chrono::abs(request.deadline_ - aDeadline);
-    if (request.phase_ == InboundPhase::kRunning && difference <= smallest) {
-      smallest = difference;
-      nearest = id;
-    }
+  const std::string_view parentId = aCallId.substr(0, aCallId.rfind('.'));
+  const auto named = aInbound.byCallerId_.find(std::string(parentId));
+  if (parentId.size() < aCallId.size() && named != aInbound.byCallerId_.end()) {
+    return named->second;
   }
-  return nearest;
+  return FindByDeadline(aInbound, aDeadline);
 }
 
 } // namespace fulmarway
--- a/packages/policy/RoutedCalls.h
+++ b/packages/policy/RoutedCalls.h
@@ -6,16 +6,20 @@
 
 #include "policy/NodeState.h"
 
+#include <string_view>
+
 namespace fulmarway {
 
 /** A request of a caller or of the own backend server without service and kind. */
 void
 HandleRoutedRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent);
 
-/** Calls of a backend server name no parent, but they expire at their parent's deadline: the
- * running request whose deadline is nearest to aDeadline, if it is near enough. A wrong choice
- * changes only which of two requests counts as the more important one. */
+/** The running request whose backend server probably makes the call. Backend servers often derive
+ * the id of a call from the id of its parent, a dot and a part of its own; where no running request
+ * has such an id, a call expires at its parent's deadline, so the nearest deadline is taken if it
+ * is near enough. A wrong choice changes only which of two requests counts as the more important
+ * one. */
 std::optional<RequestId>
-FindParentByDeadline(const InboundState& aInbound, Instant aDeadline);
+FindLikelyParent(const InboundState& aInbound, std::string_view aCallId, Instant aDeadline);
 
 } // namespace fulmarway
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -163,6 +163,23 @@
   cr_expect_not(world.ReplyTo(node, exchange).has_value());
 }
 
+/** Guards against calls that take over the importance of another request with the same deadline. */
+Test(routed_calls, id_of_a_call_names_its_parent)
+{
+  InboundState inbound;
+  for (const std::uint64_t id : { 1, 2 }) {
+    InboundRequest request;
+    request.phase_ = InboundPhase::kRunning;
+    request.deadline_ = Instant{ std::chrono::seconds(id) };
+    inbound.requests_.emplace(RequestId{ id }, request);
+    inbound.byCallerId_.emplace("a.b" + std::to_string(id), RequestId{ id });
+  }
+  const Instant deadline{ std::chrono::seconds(2) };
+  cr_expect(FindLikelyParent(inbound, "a.b1.c", deadline) == RequestId{ 1 });
+  cr_expect(FindLikelyParent(inbound, "a.b1", deadline) == RequestId{ 2 }, "not its own parent");
+  cr_expect(FindLikelyParent(inbound, "a.b1.c.d", deadline) == RequestId{ 2 }, "an unknown one");
+}
+
 Test(routed_calls, calls_of_a_backend_server_belong_to_the_request_with_their_deadline)
 {
   InboundState inbound;
@@ -173,7 +190,7 @@
     inbound.requests_.emplace(RequestId{ static_cast<std::uint64_t>(milliseconds) }, request);
   }
   const auto find = [&](int aMilliseconds) {
-    return FindParentByDeadline(inbound, Instant{ std::chrono::milliseconds(aMilliseconds) });
+    return FindLikelyParent(inbound, "call", Instant{ std::chrono::milliseconds(aMilliseconds) });
   };
   cr_expect(find(498) == RequestId{ 500 });
   cr_expect(find(701) == RequestId{ 700 });
