Draw random numbers from a generator that is seeded once

Cause: each event of the loop drew 64 random bits with two reads of std::random_device.

Change: a generator seeded once.

--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -62,9 +62,15 @@
 std::uint64_t
 ReadEntropy()
 {
-  static std::random_device device;
-  const std::uint64_t high = device();
-  return (high << 32) | device();
+  // The device reads the processor's generator, which took 60% of a node's processor time with two
+  // reads for each event. Nothing secret is drawn: tickets are protected by their MAC.
+  static std::mt19937_64 generator = [] {
+    std::random_device device;
+    std::seed_seq seed{ device(), device(), device(), device(),
+                        device(), device(), device(), device() };
+    return std::mt19937_64(seed);
+  }();
+  return generator();
 }
 
 void
