--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -201,11 +201,11 @@
         ++count > kMaxHeaderFields || std::any_of(line.begin(), line.end(), IsControl)) {
       return false;
     }
-    std::string value(TrimSpaces(line.substr(nameEnd + 1)));
+    const std::string value(TrimSpaces(line.substr(nameEnd + 1)));
     if (!IsPlainValue(value)) {
       return false;
     }
-    aHead.add(std::string(line.substr(0, nameEnd)), std::move(value));
+    aHead.add(std::string(line.substr(0, nameEnd)), value);
     aText.remove_prefix(std::min(end + kLineEnd.size(), aText.size()));
   }
   return true;
@@ -320,7 +320,7 @@
   if (!head) {
     return tl::unexpected(UserError{ "response head", "malformed" });
   }
-  return ResponseHead{ std::move(*head), end };
+  return ResponseHead{ *head, end };
 }
 
 std::string
