Survive SIGHUP

Cause: the node left SIGHUP to its default action, which ends the process. The platform sends it when the settings file has changed.

Change: the signal is counted and logged; flags and variables are fixed for a process, so nothing else changes.

--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -23,17 +23,23 @@
 
 constexpr int kExitFailed = 1;
 
-std::atomic<int> gStopSignals{ 0 };
+ReceivedSignals gSignals;
 
 /** The first signal starts the graceful stop, the second ends the process at once. */
 void
 HandleStopSignal(int)
 {
-  if (gStopSignals.fetch_add(1) > 0) {
+  if (gSignals.stops_.fetch_add(1) > 0) {
     _exit(kExitFailed);
   }
 }
 
+void
+HandleReloadSignal(int)
+{
+  gSignals.reloads_.fetch_add(1);
+}
+
 std::optional<std::string>
 ReadEnvironment(const std::string& aName)
 {
@@ -91,6 +97,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, HandleStopSignal);
   std::signal(SIGINT, HandleStopSignal);
+  std::signal(SIGHUP, HandleReloadSignal);
   try {
     const bool isOnPlatform = aSettings.interface_ == kPlatformInterface;
     Node node(aSettings,
@@ -100,7 +107,7 @@
                  aSettings.node_.identity_.service_,
                  aSettings.node_.identity_.domain_,
                  aSettings.node_.identity_.peerAddress_);
-    node.Run(gStopSignals);
+    node.Run(gSignals);
     spdlog::info("event=stopped");
     spdlog::default_logger()->flush();
     return 0;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -109,10 +109,9 @@
 }
 
 void
-Node::Run(const std::atomic<int>& aStopSignals)
+Node::Run(const ReceivedSignals& aSignals)
 {
   Instant nextTickAt = now_;
-  bool stopSeen = false;
   while (!exiting_) {
     const Duration wait = std::max(Duration(0), nextTickAt - now_);
     const auto ready = poller_.Poll(std::chrono::ceil<std::chrono::milliseconds>(wait));
@@ -120,10 +119,7 @@
     for (const ReadySocket& socket : ready) {
       HandleReady(socket);
     }
-    if (!stopSeen && aStopSignals.load() > 0) {
-      stopSeen = true;
-      Dispatch(StopRequested{});
-    }
+    NoteSignals(aSignals);
     if (now_ >= nextTickAt) {
       nextTickAt = now_ + kTickInterval;
       RunTick();
@@ -143,6 +139,20 @@
   }
 }
 
+void
+Node::NoteSignals(const ReceivedSignals& aSignals)
+{
+  if (const int reloads = aSignals.reloads_.load(); reloads != reloadsSeen_) {
+    reloadsSeen_ = reloads;
+    // Flags and variables cannot change while the process runs; a restart brings new ones.
+    spdlog::info("event=reload outcome=unchanged config_version={}", ConfigOf(state_).version_);
+  }
+  if (!stopSeen_ && aSignals.stops_.load() > 0) {
+    stopSeen_ = true;
+    Dispatch(StopRequested{});
+  }
+}
+
 bool
 Node::HasPendingOutput() const
 {
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -32,14 +32,22 @@
   std::function<std::uint64_t()> entropy_;
 };
 
+/** Counted by the signal handlers of the process. */
+struct ReceivedSignals
+{
+  std::atomic<int> stops_{ 0 };
+  /** The settings may have changed. */
+  std::atomic<int> reloads_{ 0 };
+};
+
 class Node
 {
 public:
   /** Opens all sockets. Throws Poco::Exception when an address cannot be used. */
   Node(const ProcessSettings& aSettings, NodeInterface aInterface, NodeClock aClock);
 
-  /** Runs until the graceful stop has ended. aStopSignals counts the stop signals received. */
-  void Run(const std::atomic<int>& aStopSignals);
+  /** Runs until the graceful stop has ended. */
+  void Run(const ReceivedSignals& aSignals);
 
 private:
   /** Token of the one read of the log; the other tokens are those of appends. */
@@ -51,6 +59,7 @@
   void DrainQueue();
   void RunEffects(Effects aEffects);
   void RunTick();
+  void NoteSignals(const ReceivedSignals& aSignals);
   /** Time-outs and idle times of all connections. */
   void CheckSockets();
   void HandleReady(const ReadySocket& aReady);
@@ -112,6 +121,8 @@
   std::deque<EventBody> queue_;
   LoopCounters counters_;
   bool exiting_ = false;
+  int reloadsSeen_ = 0;
+  bool stopSeen_ = false;
 };
 
 } // namespace fulmarway
