--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -407,60 +407,6 @@
   healthChecks_.Send(0, head, "", now_, now_ + kHealthTimeout);
 }
 
-void
-Node::HandleReportEvents(HttpServerEvents aEvents)
-{
-  for (const ArrivedRequest& arrived : aEvents.requests_) {
-    const auto notice = interface_.reports_->parseNotice_(arrived.message_);
-    if (!notice) {
-      ++counters_.invalidReports_;
-      spdlog::warn("event=backend_report_unreadable subject=\"{}\" error=\"{}\"",
-                   notice.error().subject_,
-                   notice.error().message_);
-      AnswerReport(arrived.exchange_, Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
-      continue;
-    }
-    if (const auto* report = std::get_if<BackendReport>(&*notice)) {
-      queue_.push_back(BackendReported{ *report });
-    } else {
-      queue_.push_back(BackendLeft{ std::get<BackendLeave>(*notice) });
-    }
-    // Acknowledged once it is in effect.
-    DrainQueue();
-    AnswerReport(arrived.exchange_, Poco::Net::HTTPResponse::HTTP_OK);
-  }
-}
-
-void
-Node::AnswerReport(ExchangeId aExchange, std::uint16_t aStatus)
-{
-  Poco::Net::HTTPResponse head = MakeResponseHead();
-  head.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aStatus));
-  head.setContentType("application/json");
-  HandleReportEvents(reports_->Reply(aExchange, head, "{}", now_));
-}
-
-void
-Node::CollectStoreResults()
-{
-  if (!store_) {
-    return;
-  }
-  for (HttpResult& result : store_->TakeResults()) {
-    const auto task = static_cast<StoreTask>(result.token_);
-    const StoreRequest request = storeCalls_.at(task);
-    storeCalls_.erase(task);
-    StoreReply reply =
-      StoreFailed{ result.outcome_ == ExchangeOutcome::kNotSent ? "not sent" : "no answer" };
-    if (result.response_) {
-      counters_.controlBytesReceived_ += result.response_->body_.size();
-      reply =
-        interface_.store_->parseReply_(settings_.node_.clusterKey_, request, *result.response_);
-    }
-    queue_.push_back(StoreAnswered{ task, std::move(reply) });
-  }
-}
-
 void
 Node::CollectLogResults()
 {
