Keep stopped stand-ins alive when their process group is orphaned

Ruled out: an own signal of the demo (it sends only STOP, CONT, TERM and KILL). Before: scripts/test-cluster, which orphans a group with a stopped process, prints 'ended'. After ignoring SIGHUP in cluster.bash it passes.

--- a/scripts/cluster.bash
+++ b/scripts/cluster.bash
@@ -1,6 +1,10 @@
 # Starts and ends nodes and stand-ins on loopback. Sourced by scripts/demo and scripts/bench, which
 # run from the root of the repository.
 
+# The kernel sends SIGHUP to a process group that is orphaned while one of its processes is stopped.
+# The stand-ins inherit that it is ignored; a node has its own handler.
+trap '' HUP
+
 BUILD_DIR=${BUILD_DIR:-build}
 RUN_DIR=$(mktemp -d)
 declare -A PIDS=()
