Apply the operator's limits on what callers may send

A client of a deployment with larger headers would have been refused with 431, and connections were kept for 120 s whatever the operator set. Change: limits are part of the configuration, spread like it, and reach the server of callers as an effect. Bounds of the server itself hold on: 32 KiB of headers, 4 MiB of body. A head that is not whole after its time is answered 408, which is true: nothing was passed on. Ruled out: closing idle connections at four fifths of the limit; callers reuse them up to there.

--- a/packages/model/Config.h
+++ b/packages/model/Config.h
@@ -78,6 +78,20 @@
   auto operator<=>(const RouteSpec&) const = default;
 };
 
+/** What callers may send, and how long they may take. The defaults hold without an operator's word.
+ */
+struct CallerLimits
+{
+  std::uint64_t maxHeaderBytes_ = 16U << 10;
+  std::uint64_t maxBodyBytes_ = 4U << 20;
+  /** From the first byte of a request to the end of its headers. */
+  Duration headerTimeout_ = std::chrono::seconds(30);
+  /** How long a connection may be unused. Callers send on connections that were idle for less. */
+  Duration idleTimeout_ = std::chrono::seconds(120);
+
+  auto operator<=>(const CallerLimits&) const = default;
+};
+
 /** The configuration in force. */
 struct Configuration
 {
@@ -88,6 +102,7 @@
   std::set<std::string> drained_;
   /** Ordered by host, then prefix. */
   std::vector<RouteSpec> routes_;
+  CallerLimits callerLimits_;
 
   auto operator<=>(const Configuration&) const = default;
 };
--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "node/HttpServer.h"
 
 #include <Poco/Exception.h>
+#include <algorithm>
 
 namespace fulmarway {
 
@@ -8,7 +9,6 @@
 
 constexpr int kBacklog = 1024;
 constexpr int kMaxAcceptsInTurn = 256;
-constexpr Duration kIdleTimeout = std::chrono::seconds(120);
 /** A sender that is slower than this for one request would hold a connection for any time. The
  * largest body, 4 MiB, takes 1.1 Mbit/s. */
 constexpr Duration kRequestTimeout = std::chrono::seconds(30);
@@ -42,6 +42,15 @@
   listener_.listen(kBacklog);
   listener_.setBlocking(false);
   poller_.Add({ settings_.listenerRole_, 0 }, listener_);
+  SetLimits({});
+}
+
+void
+HttpServer::SetLimits(const CallerLimits& aLimits)
+{
+  limits_ = aLimits;
+  limits_.maxHeaderBytes_ = std::min<std::uint64_t>(limits_.maxHeaderBytes_, kMaxHeaderLimitBytes);
+  limits_.maxBodyBytes_ = std::min<std::uint64_t>(limits_.maxBodyBytes_, settings_.maxBodyBytes_);
 }
 
 void
@@ -84,7 +93,7 @@
       return events;
     }
     const bool isBusy = connection.exchange_ || connection.channel_.PendingBytes() > 0;
-    if (isBusy && connection.input_.size() > kMaxHeaderBytes) {
+    if (isBusy && connection.input_.size() > limits_.maxHeaderBytes_) {
       // The client sends on without waiting for its reply.
       Drop(id, events);
       return events;
@@ -105,15 +114,11 @@
   if (connection.exchange_ || connection.closing_ || connection.channel_.PendingBytes() > 0) {
     return;
   }
-  auto taken = TakeHttpRequest(connection.input_, settings_.maxBodyBytes_);
+  auto taken =
+    TakeHttpRequestWithin(connection.input_, limits_.maxHeaderBytes_, limits_.maxBodyBytes_);
   if (!taken) {
     ++aEvents.invalid_;
-    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
-                                 Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
-    const std::string body = FormatInvalidRequest(taken.error(), head);
-    head.setKeepAlive(false);
-    connection.closing_ = true;
-    Write(aId, connection, FormatHttp(head, body));
+    Refuse(aId, connection, taken.error());
     return;
   }
   if (!*taken) {
@@ -135,6 +140,17 @@
   aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**taken) });
 }
 
+void
+HttpServer::Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid)
+{
+  Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
+                               Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+  const std::string body = FormatInvalidRequest(aInvalid, head);
+  head.setKeepAlive(false);
+  aConnection.closing_ = true;
+  Write(aId, aConnection, FormatHttp(head, body));
+}
+
 HttpServerEvents
 HttpServer::Reply(ExchangeId aExchange,
                   Poco::Net::HTTPResponse& aHead,
@@ -210,22 +226,39 @@
   }
 }
 
+bool
+HttpServer::IsHeadOverdue(const Connection& aConnection, Instant aNow) const
+{
+  return aConnection.requestSince_ && !aConnection.closing_ &&
+         aNow >= *aConnection.requestSince_ + limits_.headerTimeout_ &&
+         !HasWholeHead(aConnection.input_);
+}
+
 void
 HttpServer::CloseIdle(Instant aNow)
 {
   std::vector<std::uint64_t> idle;
+  std::vector<std::uint64_t> overdue;
   for (const auto& [id, connection] : connections_) {
     if (connection.exchange_) {
       continue;
     }
+    if (IsHeadOverdue(connection, aNow)) {
+      overdue.push_back(id);
+      continue;
+    }
     const bool isUnusedAtStop = !accepting_ && connection.channel_.PendingBytes() == 0;
     const bool isTooSlow =
       connection.requestSince_ && aNow >= *connection.requestSince_ + kRequestTimeout;
-    if (isUnusedAtStop || isTooSlow || aNow >= connection.lastUsedAt_ + kIdleTimeout) {
+    if (isUnusedAtStop || isTooSlow || aNow >= connection.lastUsedAt_ + limits_.idleTimeout_) {
       idle.push_back(id);
     }
   }
-  HttpServerEvents ignored;
+  HttpServerEvents ignored; // No connection among them has an exchange.
+  for (const std::uint64_t id : overdue) {
+    Refuse(id, connections_.at(id), { 408, { "head", "took longer than the limit" } });
+    Flush(id, ignored);
+  }
   for (const std::uint64_t id : idle) {
     Drop(id, ignored);
   }
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "model/Config.h"
 #include "model/Ids.h"
 #include "node/Poller.h"
 #include "node/TcpChannel.h"
@@ -23,9 +24,14 @@
   SocketRole listenerRole_ = SocketRole::kCallerListener;
   SocketRole connectionRole_ = SocketRole::kCallerConnection;
   std::size_t maxConnections_ = 2000;
+  /** Upper bound for the body in the limits. */
   std::size_t maxBodyBytes_ = 4U << 20;
 };
 
+/** Upper bound for the headers in the limits: with them a request still fits into the frame that
+ * passes it on. */
+inline constexpr std::size_t kMaxHeaderLimitBytes = 32U << 10;
+
 /** A whole request that waits for Reply(). */
 struct ArrivedRequest
 {
@@ -50,6 +56,9 @@
   /** Binds and listens. Throws Poco::Exception when the address cannot be used. */
   HttpServer(const HttpServerSettings& aSettings, Poller& aPoller);
 
+  /** Limits above the upper bounds of this server are lowered to them. */
+  void SetLimits(const CallerLimits& aLimits);
+
   /** Accepts waiting connections. */
   void Accept(Instant aNow);
 
@@ -103,7 +112,11 @@
    * the connection is still there. */
   bool Flush(std::uint64_t aId, HttpServerEvents& aEvents);
 
+  bool IsHeadOverdue(const Connection& aConnection, Instant aNow) const;
+  void Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid);
+
   HttpServerSettings settings_;
+  CallerLimits limits_;
   Poller& poller_;
   Poco::Net::ServerSocket listener_;
   bool accepting_ = true;
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -92,6 +92,7 @@
   void RunEffect(ReplyToCommand& aEffect);
   void RunEffect(ReplyInForce& aEffect);
   void RunEffect(LogLine& aEffect);
+  void RunEffect(SetCallerLimits& aEffect);
   void RunEffect(CloseAfterReplies& aEffect);
   void RunEffect(StopAccepting& aEffect);
   void RunEffect(ExitProcess& aEffect);
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -162,6 +162,12 @@
   spdlog::info("event={}{}", aEffect.event_, fields);
 }
 
+void
+Node::RunEffect(SetCallerLimits& aEffect)
+{
+  callers_.SetLimits(aEffect.limits_);
+}
+
 void
 Node::RunEffect(CloseAfterReplies&)
 {
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -224,6 +224,38 @@
   cr_expect_eq(server.server_.ConnectionCount(), 0U);
 }
 
+/** Guards against limits of the operator that are not in force, and against bounds of this server
+ * that an operator could lift. */
+Test(http_server, limits_of_the_operator_hold)
+{
+  Server server;
+  server.server_.SetLimits({ 200, 1U << 30, 3s, 10s });
+  LoopbackPeer large(server.address_);
+  large.Send("GET /a HTTP/1.1\r\nX: " + std::string(200, 'x'));
+  cr_expect(server.RunUntil([&] { return large.Has("431"); }));
+  LoopbackPeer body(server.address_);
+  body.Send("POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(kMaxBody + 1) + "\r\n\r\n");
+  cr_expect(server.RunUntil([&] { return body.Has("413"); }));
+
+  LoopbackPeer slow(server.address_);
+  slow.Send("GET /a HTTP/1.1\r\n");
+  LoopbackPeer slowBody(server.address_);
+  slowBody.Send("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+  LoopbackPeer idle(server.address_);
+  cr_assert(server.RunUntilConnections(3));
+  server.Settle();
+  server.server_.CloseIdle(server.now_ + 2999ms);
+  server.Settle();
+  cr_expect_eq(server.server_.ConnectionCount(), 3U);
+  server.server_.CloseIdle(server.now_ + 3s);
+  cr_expect(server.RunUntil([&] { return slow.Has("408") && slow.IsClosed(); }));
+  cr_expect_eq(server.server_.ConnectionCount(), 2U, "a body may take longer");
+  server.server_.CloseIdle(server.now_ + 9999ms);
+  cr_expect_eq(server.server_.ConnectionCount(), 2U);
+  server.server_.CloseIdle(server.now_ + 10s);
+  cr_expect_eq(server.server_.ConnectionCount(), 0U);
+}
+
 Test(http_server, idle_connection_is_closed)
 {
   Server server;
--- a/packages/policy/Control.cpp
+++ b/packages/policy/Control.cpp
@@ -25,6 +25,7 @@
 {
   const Configuration& config = ConfigOf(aState);
   aState.outbound_.candidatesStale_ = true;
+  aContext.effects_.push_back(SetCallerLimits{ config.callerLimits_ });
   aState.outbound_.splits_ = KeepRoutes(std::move(aState.outbound_.splits_), config.routes_);
   const auto own = config.services_.find(aState.settings_.identity_.service_);
   if (own != config.services_.end()) {
--- a/packages/policy/Effect.h
+++ b/packages/policy/Effect.h
@@ -123,6 +123,14 @@
   bool operator==(const LogLine&) const = default;
 };
 
+/** What callers may send from now on, and how long they may take. */
+struct SetCallerLimits
+{
+  CallerLimits limits_;
+
+  bool operator==(const SetCallerLimits&) const = default;
+};
+
 /** Caller connections that are open close after their next reply; new ones are still taken. */
 struct CloseAfterReplies
 {
@@ -153,6 +161,7 @@
                             ReplyToCommand,
                             ReplyInForce,
                             LogLine,
+                            SetCallerLimits,
                             CloseAfterReplies,
                             StopAccepting,
                             ExitProcess>;
--- a/packages/policy/tests/Session.h
+++ b/packages/policy/tests/Session.h
@@ -153,6 +153,7 @@
   /** These sessions use health checks and the log. */
   void Run(NodeIndex, const ForgetBackendConnections&) {}
   void Run(NodeIndex, const AskStore&) {}
+  void Run(NodeIndex, const SetCallerLimits&) {}
   void Run(NodeIndex, const CloseAfterReplies&) {}
   void Run(NodeIndex aNode, const StopAccepting& aEffect);
   void Run(NodeIndex aNode, const ExitProcess& aEffect);
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -356,11 +356,23 @@
 
 } // namespace
 
+bool
+HasWholeHead(std::string_view aBuffer)
+{
+  return aBuffer.find(kHeadEnd) != std::string_view::npos;
+}
+
 tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
 TakeHttpRequest(std::string& aBuffer, std::size_t aMaxBodyBytes)
+{
+  return TakeHttpRequestWithin(aBuffer, kMaxHeaderBytes, aMaxBodyBytes);
+}
+
+tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
+TakeHttpRequestWithin(std::string& aBuffer, std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes)
 {
   const std::size_t headEnd = aBuffer.find(kHeadEnd);
-  if (std::min(headEnd, aBuffer.size()) > kMaxHeaderBytes) {
+  if (std::min(headEnd, aBuffer.size()) > aMaxHeaderBytes) {
     return tl::unexpected(InvalidRequest{ 431, { "head", "larger than the limit" } });
   }
   if (headEnd == std::string::npos) {
--- a/packages/wire/HttpFraming.h
+++ b/packages/wire/HttpFraming.h
@@ -32,6 +32,14 @@
 tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
 TakeHttpRequest(std::string& aBuffer, std::size_t aMaxBodyBytes);
 
+/** The same with a bound on the head that the operator has set. */
+tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
+TakeHttpRequestWithin(std::string& aBuffer, std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
+
+/** Whether aBuffer begins with the whole head of a message. */
+bool
+HasWholeHead(std::string_view aBuffer);
+
 /** Removes the first whole response from aBuffer; nullopt while bytes are missing. A response
  * without a declared length is never whole here, see TakeLastHttpResponse(). */
 tl::expected<std::optional<HttpResponseMessage>, UserError>
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -179,11 +179,20 @@
   aArchive(aValue.host_, aValue.prefix_, aValue.kind_, aValue.targetLatency_, aValue.parts_);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, CallerLimits& aValue)
+{
+  aArchive(
+    aValue.maxHeaderBytes_, aValue.maxBodyBytes_, aValue.headerTimeout_, aValue.idleTimeout_);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, Configuration& aValue)
 {
-  aArchive(aValue.version_, aValue.services_, aValue.drained_, aValue.routes_);
+  aArchive(
+    aValue.version_, aValue.services_, aValue.drained_, aValue.routes_, aValue.callerLimits_);
 }
 
 template<class Archive>
