List once a second while no live node is known

Cause: a node that knew no live node asked for the next listing as soon as one ended, because the time to the regular listing was longer than a second. With 300 nodes it would pass the store's rate. Change: the time of the last complete listing is kept and the next one of a lonely node is a second after it. The longest wait for a change rises from 5 s to 10 s; peers bring a change meanwhile. Test, failing before: store_sync::lonely_node_lists_once_a_second.

--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -202,8 +202,9 @@
   Instant nextListAt_;
   /** Continues a listing of several pages. */
   std::string listAfter_;
-  /** Complete listings since the store was last unreachable. */
+  /** Complete listings since the store was last unreachable, and when the last one ended. */
   std::uint32_t listings_ = 0;
+  Instant listedAt_;
   bool announcing_ = false;
   Instant nextAnnounceAt_;
   bool reachable_ = true;
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -11,7 +11,7 @@
 
 /** Longest wait for a change in one read. A connection that went silent is noticed only after it,
  * and peers bring a change meanwhile. */
-constexpr Duration kChangeWait = std::chrono::seconds(5);
+constexpr Duration kChangeWait = std::chrono::seconds(10);
 /** Delay after a failed call; doubled with each further failure. */
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMaxRetryDoublings = 2;
@@ -100,6 +100,7 @@
       return;
     }
     store.listings_ += 1;
+    store.listedAt_ = context_.now_;
     const Duration delay =
       store.listings_ < kListingsAfterStart ? kSecondListingDelay : kListingInterval;
     store.nextListAt_ = context_.now_ + context_.random_.Jitter(delay);
@@ -140,7 +141,7 @@
   aContext.effects_.push_back(AskStore{ std::move(aRequest) });
 }
 
-/** A node that knows no other node cannot wait for the next regular listing. */
+/** A node that knows no live node cannot wait for the next regular listing. */
 bool
 IsListingDue(const NodeState& aState, const ReduceContext& aContext)
 {
@@ -148,7 +149,7 @@
   if (aContext.now_ >= store.nextListAt_) {
     return true;
   }
-  return store.reachable_ && store.nextListAt_ - aContext.now_ > kLonelyListingDelay &&
+  return store.reachable_ && aContext.now_ >= store.listedAt_ + kLonelyListingDelay &&
          !KnowsLivePeer(aState);
 }
 
--- a/packages/policy/tests/StoreSyncTest.cpp
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -89,3 +89,23 @@
   cr_expect(
     std::holds_alternative<ReadConfiguration>(Asked(world, StoreTask::kConfiguration).back()));
 }
+
+/** Guards against a node that lists without a pause while it knows no live peer. All nodes start
+ * that way at once: 13 of them made 510 listings in a second. */
+Test(store_sync, lonely_node_lists_once_a_second)
+{
+  RoutedWorld world(1);
+  const std::size_t before = Asked(world, StoreTask::kListing).size();
+  std::size_t asked = before;
+  world.Give(0, StoreAnswered{ StoreTask::kListing, AnnouncementsListed{} });
+  for (int i = 0; i < 500; ++i) {
+    world.Run(kTickInterval);
+    if (Asked(world, StoreTask::kListing).size() > asked) {
+      asked = Asked(world, StoreTask::kListing).size();
+      world.Give(0, StoreAnswered{ StoreTask::kListing, AnnouncementsListed{} });
+    }
+  }
+  const Duration time = kTickInterval * 500;
+  cr_expect_geq(asked - before, time / std::chrono::seconds(2));
+  cr_expect_leq(asked - before, time / std::chrono::seconds(1) + 2);
+}
