Refuse at the entry what the deepest service would refuse

An overloaded service also counted each call up to three times, since a refused call is offered to two more nodes, and lowered its level too far (143 to 150 where 160 would fill it, in virtual time). Change: a report names the level of the services behind its sender apart, which holds for all targets of a service; an offer that another node refused before is not counted as load; a full queue sheds the highest rank, so that the calls of few clicks are lost and not one call of many. Test, in virtual time with 72 nodes at twice the capacity of the deepest service: chain_overload::*.

--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -3,6 +3,7 @@
  */
 #include "LogOutput.h"
 #include "node/Node.h"
+#include "platform/Bounds.h"
 #include "platform/Interface.h"
 
 #include <Poco/Exception.h>
@@ -128,5 +129,13 @@
   if (const auto status = ReportSettings(result, std::cout, std::cerr)) {
     return *status;
   }
-  return RunNode(std::get<ProcessSettings>(*result));
+  ProcessSettings settings = std::get<ProcessSettings>(*result);
+  const auto bounds = platform::DecodeBounds(settings.bounds_);
+  if (!bounds) {
+    std::cerr << "fulmarwayd: --bounds: " << bounds.error().subject_ << ": "
+              << bounds.error().message_ << '\n';
+    return kExitBadSettings;
+  }
+  settings.node_ = WithBounds(std::move(settings.node_), *bounds);
+  return RunNode(settings);
 }
--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -25,6 +25,8 @@
   Duration remaining_{ 0 };
   /** Extra attempts that the receiver may spend on deeper calls. */
   std::uint32_t lentTokens_ = 0;
+  /** Another node was offered the request before and counts it in its load. */
+  bool offeredBefore_ = false;
 
   bool operator==(const CallRequest&) const = default;
 };
@@ -32,10 +34,14 @@
 /** How the receiver of a call is doing; rides on every answer. */
 struct LoadReport
 {
+  /** The lower one of the receiver's own level and `deeperLevel_`. */
   AdmissionLevel level_;
   std::uint32_t limit_ = 0;
   std::uint32_t running_ = 0;
   std::uint32_t queued_ = 0;
+  /** Of the services that requests of this kind need; the same for all backend servers of the
+   * receiver's service, as far as they know. */
+  AdmissionLevel deeperLevel_;
 
   bool operator==(const LoadReport&) const = default;
 };
--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -24,6 +24,8 @@
   kNumber,
   kLogLevel,
   kInterface,
+  /** Read by the interface. */
+  kText,
 };
 
 /** One setting; the environment variable is FULMARWAY_ and the name in capitals. */
@@ -60,6 +62,10 @@
                SettingKind::kOptionalAddress,
                "",
                "address for reports of the backend server, IP:port; interface platform" },
+  SettingSpec{ "bounds",
+               SettingKind::kText,
+               "",
+               "times that the deployment allows, NAME=VALUE,...; interface platform" },
   SettingSpec{ "seeds", SettingKind::kAddressList, "", "peer addresses of some nodes" },
   SettingSpec{ "cluster-key", SettingKind::kSecret, "", "secret shared by all nodes" },
   SettingSpec{ "log-level", SettingKind::kLogLevel, "info", "debug, info, warn or error" },
@@ -194,6 +200,8 @@
       return "debug, info, warn or error";
     case SettingKind::kInterface:
       return "own or platform";
+    case SettingKind::kText:
+      return "NAME=VALUE,...";
     case SettingKind::kNumber:
       break;
   }
@@ -218,6 +226,8 @@
       return aValue == "debug" || aValue == "info" || aValue == "warn" || aValue == "error";
     case SettingKind::kInterface:
       return aValue == kOwnInterface || aValue == kPlatformInterface;
+    case SettingKind::kText:
+      return true;
     case SettingKind::kNumber:
       break;
   }
@@ -271,6 +281,7 @@
   settings.maxConnections_ = *ParseNumber(aValues.at("max-connections"));
   settings.logLevel_ = aValues.at("log-level");
   settings.interface_ = aValues.at("interface");
+  settings.bounds_ = aValues.at("bounds");
   settings.store_ = ParseAddress(aValues.at("store"));
   settings.reportListen_ = ParseAddress(aValues.at("report-listen"));
 
--- a/packages/node/Settings.h
+++ b/packages/node/Settings.h
@@ -36,6 +36,8 @@
   std::optional<Poco::Net::SocketAddress> store_;
   /** Which set of outside functions the node uses, see NodeInterface.h. */
   std::string interface_;
+  /** Times that the deployment allows, in the form of the interface; may be empty. */
+  std::string bounds_;
   std::size_t maxConnections_ = 2000;
   std::string logLevel_ = "info";
   /** --check-settings: end after the check. */
--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -190,7 +190,7 @@
   if (aState.running_.contains(aArrival.id_) || IsQueued(aState.queue_, aArrival.id_)) {
     throw InternalError("request is already queued or running");
   }
-  if (!aArrival.longRunning_) {
+  if (!aArrival.longRunning_ && !aArrival.offeredBefore_) {
     NoteArrival(aState.level_,
                 AdmissionRank(aArrival.importance_, aArrival.clickBucket_),
                 WaitingForSlot(aState));
--- a/packages/policy/AdmissionQueue.cpp
+++ b/packages/policy/AdmissionQueue.cpp
@@ -32,14 +32,26 @@
   });
 }
 
-/** The last request, or the last long one. */
+std::uint16_t
+RankOf(const Arrival& aArrival)
+{
+  return AdmissionRank(aArrival.importance_, aArrival.clickBucket_);
+}
+
+/** The request that is shed first, of all or of the long ones: that with the highest rank, and of
+ * several the last. By rank, all calls of a click are shed or none, on all nodes. */
 Requests::iterator
-FindLast(Requests& aRequests, bool aLongOnly)
+FindFirstToShed(Requests& aRequests, bool aLongOnly)
 {
-  const auto last = std::find_if(aRequests.rbegin(), aRequests.rend(), [&](const auto& aEntry) {
-    return !aLongOnly || CountsAsLong(aEntry.second.arrival_);
-  });
-  return last == aRequests.rend() ? aRequests.end() : std::prev(last.base());
+  auto worst = aRequests.end();
+  for (auto entry = aRequests.begin(); entry != aRequests.end(); ++entry) {
+    const Arrival& arrival = entry->second.arrival_;
+    if ((!aLongOnly || CountsAsLong(arrival)) &&
+        (worst == aRequests.end() || RankOf(arrival) >= RankOf(worst->second.arrival_))) {
+      worst = entry;
+    }
+  }
+  return worst;
 }
 
 } // namespace
@@ -51,12 +63,12 @@
   std::optional<RequestId> displaced;
   const bool longFull = CountsAsLong(aArrival) && CountLong(requests) >= aBounds.long_;
   if (longFull || requests.size() >= aBounds.total_) {
-    const auto last = FindLast(requests, longFull);
-    if (last == requests.end() || last->first.importance_ <= aArrival.importance_) {
+    const auto worst = FindFirstToShed(requests, longFull);
+    if (worst == requests.end() || RankOf(worst->second.arrival_) <= RankOf(aArrival)) {
       return aArrival.id_;
     }
-    displaced = last->second.arrival_.id_;
-    requests.erase(last);
+    displaced = worst->second.arrival_.id_;
+    requests.erase(worst);
   }
   requests.emplace(QueuePlace{ aArrival.importance_, aArrival.deadline_, aQueue.nextSequence_++ },
                    QueuedRequest{ aArrival, aNow });
--- a/packages/policy/AdmissionQueue.h
+++ b/packages/policy/AdmissionQueue.h
@@ -24,6 +24,8 @@
   std::uint8_t clickBucket_ = 0;
   Instant deadline_;
   bool longRunning_ = false;
+  /** Another node counts it in its load. */
+  bool offeredBefore_ = false;
 
   auto operator<=>(const Arrival&) const = default;
 };
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -116,7 +116,10 @@
 }
 
 Arrival
-MakeArrival(const NodeState& aState, RequestId aId, const InboundRequest& aRequest)
+MakeArrival(const NodeState& aState,
+            RequestId aId,
+            const InboundRequest& aRequest,
+            bool aOfferedBefore)
 {
   const Request& request = aRequest.request_;
   const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
@@ -125,7 +128,8 @@
            request.importance_,
            ClickBucket(request.clickId_),
            aRequest.deadline_,
-           kind != nullptr && kind->longRunning_ };
+           kind != nullptr && kind->longRunning_,
+           aOfferedBefore };
 }
 
 /** Registers the request, so that an outcome can be sent to its requester. */
@@ -171,7 +175,8 @@
     EndNotRun(aState, aContext, aId, *reason);
     return;
   }
-  const Arrival arrival = MakeArrival(aState, aId, aState.inbound_.requests_.at(aId));
+  const Arrival arrival =
+    MakeArrival(aState, aId, aState.inbound_.requests_.at(aId), aCall.offeredBefore_);
   ApplyAdmission(
     aState,
     aContext,
--- a/packages/policy/InboundReplies.cpp
+++ b/packages/policy/InboundReplies.cpp
@@ -39,18 +39,19 @@
 LoadReport
 MakeLoadReport(NodeState& aState, const ReduceContext& aContext, const std::string& aKind)
 {
-  AdmissionLevel level = LevelOf(aState.admission_);
+  AdmissionLevel deeper = kHighestAdmissionLevel;
   for (const DeeperCall& call : RequiredCalls(aState.inbound_.dependencies_, StableHash(aKind))) {
-    level = std::min(level,
-                     ServiceLevel(aState.routing_,
-                                  CandidatesFor(aState, call.service_),
-                                  StableHash(call.kind_),
-                                  aContext.now_));
+    deeper = std::min(deeper,
+                      ServiceLevel(aState.routing_,
+                                   CandidatesFor(aState, call.service_),
+                                   StableHash(call.kind_),
+                                   aContext.now_));
   }
-  return { level,
+  return { std::min(LevelOf(aState.admission_), deeper),
            LimitOf(aState.admission_),
            RunningCount(aState.admission_),
-           QueuedCount(aState.admission_) };
+           QueuedCount(aState.admission_),
+           deeper };
 }
 
 void
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -79,10 +79,12 @@
   LogAttemptSent(aContext, aState, call, attempt);
   const std::uint32_t tokens =
     Apply(aState.budget_, LendTokens(std::move(aState.budget_), call.pool_, attempt));
-  SendCall(aState,
-           aContext,
-           aTarget,
-           CallRequest{ attempt, call.request_, call.deadline_ - aContext.now_, tokens });
+  SendCall(
+    aState,
+    aContext,
+    aTarget,
+    CallRequest{
+      attempt, call.request_, call.deadline_ - aContext.now_, tokens, call.tried_.size() > 1 });
 }
 
 RouteQuery
--- a/packages/policy/Routing.cpp
+++ b/packages/policy/Routing.cpp
@@ -60,6 +60,41 @@
   return best == std::numeric_limits<double>::infinity() ? kDefaultLatency : best;
 }
 
+/** Mean of what aLevelOf gives for the targets; the highest level when it gives nothing. */
+template<typename LevelOfTarget>
+AdmissionLevel
+MeanLevel(const RoutingState& aState,
+          std::span<const RouteCandidate> aTargets,
+          LevelOfTarget aLevelOf)
+{
+  std::uint32_t sum = 0;
+  std::uint32_t known = 0;
+  for (const RouteCandidate& candidate : aTargets) {
+    const auto found = aState.targets_.find(candidate.id_);
+    const auto level = found == aState.targets_.end() ? std::nullopt : aLevelOf(found->second);
+    if (level) {
+      sum += level->admitBelow_;
+      known += 1;
+    }
+  }
+  return known == 0 ? kHighestAdmissionLevel
+                    : AdmissionLevel{ static_cast<std::uint16_t>(sum / known) };
+}
+
+/** Level of the services behind the targets. It is a property of the call graph, so it also holds
+ * for a target without a recent report. With many nodes most targets are such: taking them as free
+ * starts work that is refused deeper and thrown away. */
+AdmissionLevel
+DeeperLevel(const RoutingState& aState,
+            std::span<const RouteCandidate> aTargets,
+            std::uint64_t aKindKey,
+            Instant aNow)
+{
+  return MeanLevel(aState, aTargets, [&](const TargetObservations& aTarget) {
+    return TrustedDeeperLevel(aTarget, aKindKey, aNow);
+  });
+}
+
 Pool
 Score(const RoutingState& aState,
       std::span<const RouteCandidate> aCandidates,
@@ -67,6 +102,9 @@
       Instant aNow)
 {
   const double assumed = AssumedLatency(aState, aCandidates);
+  const bool isRefusedDeeper = !IsAdmitted(DeeperLevel(aState, aCandidates, aQuery.kindKey_, aNow),
+                                           aQuery.importance_,
+                                           aQuery.clickBucket_);
   TargetObservations unknown;
   unknown.slowStartFrom_ = aNow;
   Pool pool;
@@ -76,7 +114,9 @@
     const TargetObservations& target = found == aState.targets_.end() ? unknown : found->second;
     Scored scored{ &candidate };
     scored.ejected_ = aNow < target.ejectedUntil_;
-    scored.saturated_ = RefusesByLevel(target, aQuery, aNow);
+    scored.saturated_ = TrustedLevel(target, aQuery.kindKey_, aNow)
+                          ? RefusesByLevel(target, aQuery, aNow)
+                          : isRefusedDeeper;
     scored.expectedTime_ = ExpectedTime(target, assumed, aNow);
     scored.score_ = static_cast<double>(target.outstanding_.size() + 1) * scored.expectedTime_;
     scored.drawWeight_ = SlowStartShare(target, aNow);
@@ -304,20 +344,9 @@
              std::uint64_t aKindKey,
              Instant aNow)
 {
-  std::uint32_t sum = 0;
-  std::uint32_t known = 0;
-  for (const RouteCandidate& candidate : aTargets) {
-    const auto found = aState.targets_.find(candidate.id_);
-    if (found == aState.targets_.end()) {
-      continue;
-    }
-    if (const auto level = TrustedLevel(found->second, aKindKey, aNow)) {
-      sum += level->admitBelow_;
-      known += 1;
-    }
-  }
-  return known == 0 ? kHighestAdmissionLevel
-                    : AdmissionLevel{ static_cast<std::uint16_t>(sum / known) };
+  return MeanLevel(aState, aTargets, [&](const TargetObservations& aTarget) {
+    return TrustedLevel(aTarget, aKindKey, aNow);
+  });
 }
 
 bool
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -92,6 +92,8 @@
 struct KindLevel
 {
   AdmissionLevel level_ = kHighestAdmissionLevel;
+  /** As in LoadReport. */
+  AdmissionLevel deeperLevel_ = kHighestAdmissionLevel;
   Instant at_;
   /** Requests in a row that succeeded although a report from before their start refused them. */
   std::uint32_t contradictions_ = 0;
--- a/packages/policy/TargetObservations.cpp
+++ b/packages/policy/TargetObservations.cpp
@@ -73,6 +73,17 @@
   }
 }
 
+/** The last report for the kind; nullptr when there is none, or when it is old or contradicted. */
+const KindLevel*
+FindTrusted(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow)
+{
+  const auto found = aTarget.levels_.find(aKindKey);
+  const bool isTrusted = found != aTarget.levels_.end() &&
+                         aNow - found->second.at_ <= kLevelLifetime &&
+                         aNow >= found->second.distrustUntil_;
+  return isTrusted ? &found->second : nullptr;
+}
+
 void
 ObserveLevel(TargetObservations& aTarget, const AttemptReport& aReport, Instant aNow)
 {
@@ -92,6 +103,7 @@
     kind.at_ = aNow;
   }
   kind.level_ = aReport.load_->level_;
+  kind.deeperLevel_ = aReport.load_->deeperLevel_;
 }
 
 } // namespace
@@ -160,12 +172,15 @@
 std::optional<AdmissionLevel>
 TrustedLevel(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow)
 {
-  const auto found = aTarget.levels_.find(aKindKey);
-  if (found == aTarget.levels_.end() || aNow - found->second.at_ > kLevelLifetime ||
-      aNow < found->second.distrustUntil_) {
-    return std::nullopt;
-  }
-  return found->second.level_;
+  const KindLevel* kind = FindTrusted(aTarget, aKindKey, aNow);
+  return kind == nullptr ? std::nullopt : std::optional(kind->level_);
+}
+
+std::optional<AdmissionLevel>
+TrustedDeeperLevel(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow)
+{
+  const KindLevel* kind = FindTrusted(aTarget, aKindKey, aNow);
+  return kind == nullptr ? std::nullopt : std::optional(kind->deeperLevel_);
 }
 
 bool
--- a/packages/policy/TargetObservations.h
+++ b/packages/policy/TargetObservations.h
@@ -39,6 +39,10 @@
 std::optional<AdmissionLevel>
 TrustedLevel(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow);
 
+/** The same for the level of the services behind the target. */
+std::optional<AdmissionLevel>
+TrustedDeeperLevel(const TargetObservations& aTarget, std::uint64_t aKindKey, Instant aNow);
+
 /** Whether the trusted level refuses the request. */
 bool
 RefusesByLevel(const TargetObservations& aTarget, const RouteQuery& aQuery, Instant aNow);
--- a/packages/policy/tests/AdmissionQueueTest.cpp
+++ b/packages/policy/tests/AdmissionQueueTest.cpp
@@ -91,3 +91,37 @@
   }
   cr_assert((order == std::vector<std::uint64_t>{ 3, 2, 4, 1 }));
 }
+
+/** Guards against a full queue that sheds one call of each of many clicks, all of which then fail,
+ * where it could shed the calls of a few. */
+Test(admission_queue, of_one_class_the_highest_rank_is_shed)
+{
+  AdmissionState state = FullState({ 1, 0, 25 });
+  const auto withBucket = [](std::uint64_t aId, std::uint8_t aBucket) {
+    Arrival arrival = MakeArrival(aId, Importance::kNormal, 500);
+    arrival.clickBucket_ = aBucket;
+    return arrival;
+  };
+  for (std::uint8_t id = 1; id <= kMinQueue; ++id) {
+    state = Offer(std::move(state), withBucket(id, id), At(1)).state_;
+  }
+  auto step = Offer(std::move(state), withBucket(100, 3), At(1));
+  cr_assert_eq(step.result_.shed_.size(), 1U);
+  cr_expect_eq(step.result_.shed_[0].id_.value_, kMinQueue);
+  step = Offer(std::move(step.state_), withBucket(101, 50), At(1));
+  cr_assert_eq(step.result_.shed_.size(), 1U);
+  cr_expect_eq(step.result_.shed_[0].id_.value_, 101U, "the arrival has the highest rank");
+}
+
+/** Guards against a load that is counted by each node it is offered to: an overloaded service would
+ * take it for a multiple of what callers send, and lower its level too far. */
+Test(admission_queue, request_that_another_node_was_offered_is_not_counted_again)
+{
+  AdmissionState state = FullState({ 2, 0, 25 });
+  const AdmissionLevelControl before = state.level_;
+  Arrival arrival = MakeArrival(1, Importance::kNormal, 500);
+  arrival.offeredBefore_ = true;
+  state = Offer(std::move(state), arrival, At(1)).state_;
+  cr_expect(state.level_.arrivals_ == before.arrivals_);
+  cr_expect(IsQueued(state.queue_, arrival.id_));
+}
--- /dev/null
+++ b/packages/policy/tests/ChainOverloadTest.cpp
@@ -0,0 +1,108 @@
+/** \file
+ * Load patterns of a whole call graph whose deepest service fills first: work above it must not be
+ * started and thrown away, and the most important requests go first.
+ */
+#include "ChainWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+using namespace fulmarway::test;
+
+namespace {
+
+constexpr std::uint32_t kScale = 3;
+/** Service times of reads of terms and of orders, milliseconds. */
+constexpr double kTermsMs = 24;
+constexpr double kOrderMs = 32;
+constexpr std::uint32_t kAccountsSlots = 23;
+constexpr std::uint32_t kAccountsServers = 3;
+/** The first seconds fill the queues. */
+constexpr int kFrom = 2;
+constexpr int kTo = 7;
+
+/** A price list makes two ledger reads, each of which makes a batch read with four reads of terms.
+ * A confirmation makes one batch read. "accounts" fills first, from a load of 1.2 on. With 72 nodes
+ * an entry node sends to most targets less often than reports of their level expire. */
+ChainPlan
+MakeOrderMesh(double aLoad)
+{
+  using std::chrono::milliseconds;
+  const auto rate = [=](double aPerSecond) {
+    return [=](double) { return aPerSecond * aLoad * kScale; };
+  };
+  ChainPlan plan;
+  plan.domains_ = 3;
+  plan.services_ = { { "pricing", 6, 84, { 0.6, 1.0, 1.4 } },
+                     { "dispatch", 6, 112, { 0.6, 1.0, 1.4 } },
+                     { "roastery", 9, 60, { 0.7, 0.7, 1.6 } },
+                     { "accounts", kAccountsServers, kAccountsSlots, { 0.6, 1.0, 1.4 } } };
+  for (ChainService& service : plan.services_) {
+    service.servers_ *= kScale;
+  }
+  plan.kinds_ = {
+    { "price-list",
+      "pricing",
+      Importance::kNormal,
+      80,
+      milliseconds(1500),
+      { { "ledger", 2, true } },
+      rate(230) },
+    { "confirm",
+      "dispatch",
+      Importance::kCritical,
+      100,
+      milliseconds(1500),
+      { { "batch", 1, true } },
+      rate(102) },
+    { "order", "accounts", Importance::kHigh, kOrderMs, milliseconds(400), {}, rate(77) },
+    { "ledger",
+      "dispatch",
+      Importance::kNormal,
+      15,
+      milliseconds(1200),
+      { { "batch", 1, false } } },
+    { "batch", "roastery", Importance::kNormal, 15, milliseconds(900), { { "terms", 4, false } } },
+    { "terms", "accounts", Importance::kNormal, kTermsMs, milliseconds(400) },
+  };
+  return plan;
+}
+
+/** Share of the capacity of "accounts" that went to callers' requests which were answered. */
+double
+UsefulShare(const ChainWorld& aWorld)
+{
+  const auto answered = [&](const char* aKind) {
+    return static_cast<double>(aWorld.Count(aKind, kFrom, kTo).answered_);
+  };
+  const double termsMs = kTermsMs * (8 * answered("price-list") + 4 * answered("confirm"));
+  const double capacityMs = 1000.0 * (kTo - kFrom) * kAccountsSlots * kAccountsServers * kScale;
+  return (termsMs + kOrderMs * answered("order")) / capacityMs;
+}
+
+double
+AnsweredShare(const ChainWorld& aWorld, const char* aKind)
+{
+  const ChainCounts counts = aWorld.Count(aKind, kFrom, kTo);
+  return static_cast<double>(counts.answered_) / counts.sent_;
+}
+
+} // namespace
+
+/** Guards against clicks that are started although the deepest service will refuse them: its
+ * capacity then goes to parts of clicks that fail. */
+Test(chain_overload, deepest_service_stays_busy_with_clicks_that_are_answered)
+{
+  ChainWorld world(MakeOrderMesh(2.0));
+  world.Run(std::chrono::seconds(kTo + 2));
+  cr_expect_geq(UsefulShare(world), 0.95, "%.3f", UsefulShare(world));
+  cr_expect_geq(AnsweredShare(world, "confirm"), 0.999);
+}
+
+/** Guards against time of backend servers that is spent on clicks which then fail. */
+Test(chain_overload, little_work_is_thrown_away)
+{
+  ChainWorld world(MakeOrderMesh(2.0));
+  world.Run(std::chrono::seconds(kTo + 2));
+  cr_expect_leq(world.WastedShare(kFrom, kTo), 0.02, "%.3f", world.WastedShare(kFrom, kTo));
+}
--- /dev/null
+++ b/packages/policy/tests/ChainWorld.h
@@ -0,0 +1,165 @@
+/** \file
+ * A call graph of several services in virtual time: whole nodes, backend servers that call deeper
+ * through their node, an open load of callers, and a network with a delay. For load patterns that
+ * only show over several hops.
+ */
+#pragma once
+
+#include "policy/Reducer.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace fulmarway::test {
+
+/** Deeper calls of one kind that a request makes. */
+struct DeeperCalls
+{
+  std::string kind_;
+  std::uint32_t times_ = 1;
+  /** All at once instead of one after the other. */
+  bool together_ = false;
+};
+
+struct ChainKind
+{
+  std::string name_;
+  std::string service_;
+  Importance importance_ = Importance::kNormal;
+  /** Mean service time on a backend server of speed 1, without deeper calls. */
+  double workMs_ = 20;
+  Duration timeout_ = std::chrono::seconds(1);
+  std::vector<DeeperCalls> calls_ = {};
+  /** Callers' requests a second as a function of the time in seconds; none for inner kinds. */
+  std::function<double(double)> rate_ = {};
+};
+
+struct ChainService
+{
+  std::string name_;
+  std::uint32_t servers_ = 1;
+  std::uint32_t slots_ = 10;
+  /** In turn for the backend servers. */
+  std::vector<double> speeds_ = { 1.0 };
+};
+
+struct ChainPlan
+{
+  std::vector<ChainService> services_;
+  std::vector<ChainKind> kinds_;
+  std::uint32_t domains_ = 1;
+  std::uint64_t seed_ = 1;
+};
+
+/** What became of the callers' requests of one kind that were sent in one second. */
+struct ChainCounts
+{
+  std::uint32_t sent_ = 0;
+  std::uint32_t answered_ = 0;
+  /** Answered by the backend server with an error, or lost. */
+  std::uint32_t failed_ = 0;
+  /** Refused as not run. */
+  std::uint32_t refused_ = 0;
+};
+
+class ChainWorld
+{
+public:
+  explicit ChainWorld(ChainPlan aPlan);
+
+  /** Advances virtual time; callers send from the first call on. */
+  void Run(Duration aTime);
+
+  /** Sum over the seconds in [aFrom, aTo). */
+  ChainCounts Count(const std::string& aKind, int aFrom, int aTo) const;
+
+  /** Share of the backend servers' time that went to callers' requests which were not answered, of
+   * the requests sent in these seconds. */
+  double WastedShare(int aFrom, int aTo) const;
+
+private:
+  /** A request on a backend server. */
+  struct Task
+  {
+    BackendRequest request_;
+    std::size_t kind_ = 0;
+    /** Next entry of the kind's calls, and how many of it are done. */
+    std::size_t step_ = 0;
+    std::uint32_t done_ = 0;
+    std::uint32_t open_ = 0;
+    std::uint32_t nextCall_ = 0;
+    Instant deadline_;
+  };
+
+  struct Scheduled
+  {
+    Instant at_;
+    std::uint64_t order_ = 0;
+    std::size_t node_ = 0;
+    /** Runs instead of the event when set. */
+    std::function<void()> action_;
+    EventBody body_;
+
+    bool operator<(const Scheduled& aOther) const
+    {
+      return std::tie(at_, order_) > std::tie(aOther.at_, aOther.order_);
+    }
+  };
+
+  /** A caller's request that has no outcome yet. */
+  struct Asked
+  {
+    std::size_t kind_ = 0;
+    int second_ = 0;
+    std::string click_;
+  };
+
+  /** Time of the backend servers, milliseconds. */
+  struct WorkTime
+  {
+    double useful_ = 0;
+    double wasted_ = 0;
+  };
+
+  void Schedule(Duration aDelay, std::size_t aNode, EventBody aBody);
+  void ScheduleAction(Duration aDelay, std::function<void()> aAction);
+  void Give(std::size_t aNode, EventBody aBody);
+  void ScheduleArrival(std::size_t aKind);
+  void SendArrival(std::size_t aKind);
+  void Work(std::size_t aNode, RequestId aId, double aShare, std::function<void()> aThen);
+  void MakeCalls(std::size_t aNode, RequestId aId);
+  void SendCall(std::size_t aNode, RequestId aId, const std::string& aKind);
+  void EndCall(std::size_t aNode, RequestId aId, bool aIsAnswered);
+  void Answer500(std::size_t aNode, RequestId aId);
+  void Deliver(std::size_t aNode, Effect& aEffect);
+  void DeliverReply(const ReplyToCaller& aReply);
+  std::size_t KindIndex(const std::string& aName) const;
+  double Random();
+  int Second() const;
+
+  ChainPlan plan_;
+  Instant now_;
+  Instant start_;
+  Instant nextTick_;
+  bool sending_ = false;
+  RandomStream random_;
+  std::uint64_t nextOrder_ = 1;
+  std::uint64_t nextExchange_ = 1;
+  std::vector<NodeState> nodes_;
+  std::vector<double> speeds_;
+  std::vector<std::map<RequestId, Task>> tasks_;
+  std::priority_queue<Scheduled> queue_;
+  std::map<ExchangeId, Asked> asked_;
+  /** Deeper calls: the node and request that wait for the exchange. */
+  std::map<ExchangeId, std::pair<std::size_t, RequestId>> callers_;
+  std::map<std::pair<std::size_t, int>, ChainCounts> counts_;
+  /** By click, while it has no outcome. */
+  std::map<std::string, double, std::less<>> workOfClick_;
+  std::map<int, WorkTime> workTimes_;
+};
+
+} // namespace fulmarway::test
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -292,7 +292,8 @@
 void
 serialize(Archive& aArchive, CallRequest& aValue)
 {
-  aArchive(aValue.attempt_, aValue.request_, aValue.remaining_, aValue.lentTokens_);
+  aArchive(
+    aValue.attempt_, aValue.request_, aValue.remaining_, aValue.lentTokens_, aValue.offeredBefore_);
 }
 
 template<class Archive>
@@ -306,7 +307,7 @@
 void
 serialize(Archive& aArchive, LoadReport& aValue)
 {
-  aArchive(aValue.level_, aValue.limit_, aValue.running_, aValue.queued_);
+  aArchive(aValue.level_, aValue.limit_, aValue.running_, aValue.queued_, aValue.deeperLevel_);
 }
 
 template<class Archive>
