Count log lines that a full output dropped, and show whether the store answers

Change: metrics dropped_log_lines_total and store_reachable, the field task of store_lost and store_regained, one function that collects results. No decision changes. Test: metrics::every_counter_shows_its_own_value, metrics::names_types_and_help.

--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -80,21 +80,23 @@
   return generator();
 }
 
-void
+std::shared_ptr<LogOutput>
 SetUpLogging(const std::string& aLevel)
 {
-  auto logger = std::make_shared<spdlog::logger>("fulmarwayd", std::make_shared<LogOutput>());
+  auto output = std::make_shared<LogOutput>();
+  auto logger = std::make_shared<spdlog::logger>("fulmarwayd", output);
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
   logger->set_level(spdlog::level::from_str(aLevel));
   // The event loop flushes; an error may be the last line.
   logger->flush_on(spdlog::level::err);
   spdlog::set_default_logger(logger);
+  return output;
 }
 
 int
 RunNode(const ProcessSettings& aSettings)
 {
-  SetUpLogging(aSettings.logLevel_);
+  const auto output = SetUpLogging(aSettings.logLevel_);
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, HandleStopSignal);
   std::signal(SIGINT, HandleStopSignal);
@@ -103,7 +105,8 @@
     const bool isOnPlatform = aSettings.interface_ == kPlatformInterface;
     Node node(aSettings,
               isOnPlatform ? platform::MakeInterface() : OwnInterface(),
-              { ReadMonotonicClock, ReadWallClockMs, ReadEntropy });
+              { ReadMonotonicClock, ReadWallClockMs, ReadEntropy },
+              [output] { return output->Dropped(); });
     spdlog::info("event=started service={} domain={} peer_address={}",
                  aSettings.node_.identity_.service_,
                  aSettings.node_.identity_.domain_,
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -141,6 +141,7 @@
   add("outbound_calls", "Calls in progress", aState.outbound_.calls_.size());
   add("backend_healthy", "Whether the backend server answers", aState.lifecycle_.backendHealthy_);
   add("log_reachable", "Whether the log service answers", aState.control_.logReachable_);
+  add("store_reachable", "Whether the store answers", aState.store_.reachable_);
   add("caller_connections", "Open connections of callers", aLoop.callerConnections_);
 }
 
@@ -154,6 +155,9 @@
   add("invalid_reports_total", "Unreadable reports of the backend server", aLoop.invalidReports_);
   add(
     "omitted_log_lines_total", "Log lines above the bound of their event", aLoop.omittedLogLines_);
+  add("dropped_log_lines_total",
+      "Log lines lost because the reader of standard output did not keep up",
+      aLoop.droppedLogLines_);
   add("invalid_peer_messages_total", "Dropped TCP messages", aLoop.invalidPeerMessages_);
   add("invalid_datagrams_total", "Dropped UDP messages", aLoop.invalidDatagrams_);
   add("undecodable_log_records_total", "Log records passed over", aLoop.undecodableLogRecords_);
--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -24,6 +24,7 @@
   std::uint64_t invalidReports_ = 0;
   /** Log lines that were left out because there were too many of one event. */
   std::uint64_t omittedLogLines_ = 0;
+  std::uint64_t droppedLogLines_ = 0;
 };
 
 /** Body of GET /metrics. */
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -62,10 +62,14 @@
 
 } // namespace
 
-Node::Node(const ProcessSettings& aSettings, NodeInterface aInterface, NodeClock aClock)
+Node::Node(const ProcessSettings& aSettings,
+           NodeInterface aInterface,
+           NodeClock aClock,
+           DroppedLogLines aDroppedLogLines)
   : settings_(aSettings)
   , interface_(std::move(aInterface))
   , clock_(std::move(aClock))
+  , droppedLogLines_(std::move(aDroppedLogLines))
   , now_(clock_.now_())
   , state_(MakeNodeState(WithRun(aSettings.node_, clock_), now_))
   , callers_({ aSettings.listen_,
@@ -124,10 +128,7 @@
       nextTickAt = now_ + kTickInterval;
       RunTick();
     }
-    CollectPeerEvents();
-    CollectBackendResults();
-    CollectLogResults();
-    CollectStoreResults();
+    CollectResults();
     DrainQueue();
   }
   const Instant flushUntil = now_ + kExitFlushTime;
@@ -175,10 +176,7 @@
     auto step = Reduce(std::move(state_), event);
     state_ = std::move(step.state_);
     RunEffects(std::move(step.result_));
-    CollectPeerEvents();
-    CollectBackendResults();
-    CollectLogResults();
-    CollectStoreResults();
+    CollectResults();
   }
 }
 
@@ -319,6 +317,7 @@
   LoopCounters counters = counters_;
   counters.invalidPeerMessages_ = peers_.InvalidMessages();
   counters.callerConnections_ = callers_.ConnectionCount();
+  counters.droppedLogLines_ = droppedLogLines_();
   return counters;
 }
 
@@ -348,6 +347,15 @@
   }
 }
 
+void
+Node::CollectResults()
+{
+  CollectPeerEvents();
+  CollectBackendResults();
+  CollectLogResults();
+  CollectStoreResults();
+}
+
 void
 Node::CollectPeerEvents()
 {
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -32,6 +32,9 @@
   std::function<std::uint64_t()> entropy_;
 };
 
+/** Lines that the log could not write because its reader did not keep up. */
+using DroppedLogLines = std::function<std::uint64_t()>;
+
 /** Counted by the signal handlers of the process. */
 struct ReceivedSignals
 {
@@ -44,7 +47,10 @@
 {
 public:
   /** Opens all sockets. Throws Poco::Exception when an address cannot be used. */
-  Node(const ProcessSettings& aSettings, NodeInterface aInterface, NodeClock aClock);
+  Node(const ProcessSettings& aSettings,
+       NodeInterface aInterface,
+       NodeClock aClock,
+       DroppedLogLines aDroppedLogLines);
 
   /** Runs until the graceful stop has ended. */
   void Run(const ReceivedSignals& aSignals);
@@ -67,6 +73,8 @@
   void HandleAdminEvents(HttpServerEvents aEvents);
   void SendAdminReply(ExchangeId aExchange, const AdminReply& aReply);
   void ReadGossip();
+  /** Queues what peers, backend server, log and store have brought. */
+  void CollectResults();
   void CollectPeerEvents();
   void CollectBackendResults();
   void CollectLogResults();
@@ -100,6 +108,7 @@
   ProcessSettings settings_;
   NodeInterface interface_;
   NodeClock clock_;
+  DroppedLogLines droppedLogLines_;
   Instant now_;
   NodeState state_;
   Poller poller_;
--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -27,6 +27,7 @@
   "gossip_received_total",
   "gossip_sent_total",
   "hedges_total",
+  "dropped_log_lines_total",
   "invalid_datagrams_total",
   "invalid_peer_messages_total",
   "invalid_reports_total",
@@ -48,7 +49,7 @@
   "admission_level",   "backend_healthy", "caller_connections",
   "concurrency_limit", "config_version",  "log_reachable",
   "members",           "outbound_calls",  "queued_requests",
-  "running_requests",  "tickets",
+  "running_requests",  "store_reachable", "tickets",
 };
 
 struct Scrape
@@ -123,7 +124,7 @@
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     state.counters_.Add(static_cast<CounterId>(index), 1000 + index);
   }
-  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7, 8, 9 };
+  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
   const Scrape scrape = Read(RenderMetrics(state, loop));
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     const auto name = std::string(CounterName(static_cast<CounterId>(index))) + "_total";
@@ -135,6 +136,7 @@
     { "control_sent_bytes_total", "5" }, { "control_received_bytes_total", "6" },
     { "caller_connections", "7" },       { "backend_healthy", "0" },
     { "invalid_reports_total", "8" },    { "omitted_log_lines_total", "9" },
+    { "dropped_log_lines_total", "10" },
   };
   for (const auto& [name, value] : expected) {
     cr_expect_eq(scrape.values_.at(name), value, "%s", name.c_str());
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -44,7 +44,11 @@
 }
 
 void
-SetReachable(NodeState& aState, ReduceContext& aContext, bool aReachable, const std::string& aWhy)
+SetReachable(NodeState& aState,
+             ReduceContext& aContext,
+             StoreTask aTask,
+             bool aReachable,
+             const std::string& aWhy)
 {
   StoreState& store = aState.store_;
   store.failuresInRow_ = aReachable ? 0 : store.failuresInRow_ + 1;
@@ -58,7 +62,8 @@
     store.nextAnnounceAt_ = std::min(store.nextAnnounceAt_, aContext.now_);
   }
   aContext.effects_.push_back(
-    LogLine{ aReachable ? "store_regained" : "store_lost", { { "detail", aWhy } } });
+    LogLine{ aReachable ? "store_regained" : "store_lost",
+             { { "task", std::string(ToString(aTask)) }, { "detail", aWhy } } });
 }
 
 struct ReplyHandler
@@ -70,7 +75,7 @@
   void operator()(const ConfigurationRead& aReply) const
   {
     StoreState& store = state_.store_;
-    SetReachable(state_, context_, true, "");
+    SetReachable(state_, context_, task_, true, "");
     store.readingConfiguration_ = false;
     store.nextChange_ = aReply.next_;
     store.nextConfigurationReadAt_ = context_.now_;
@@ -86,7 +91,7 @@
   void operator()(const AnnouncementsListed& aReply) const
   {
     StoreState& store = state_.store_;
-    SetReachable(state_, context_, true, "");
+    SetReachable(state_, context_, task_, true, "");
     store.listing_ = false;
     store.listAfter_ = aReply.continueAfter_.value_or("");
     for (const MemberRecord& member : aReply.members_) {
@@ -108,7 +113,7 @@
 
   void operator()(const AnnouncementWritten&) const
   {
-    SetReachable(state_, context_, true, "");
+    SetReachable(state_, context_, task_, true, "");
     state_.store_.announcing_ = false;
     state_.store_.nextAnnounceAt_ = context_.now_ + context_.random_.Jitter(kAnnounceInterval);
   }
@@ -116,7 +121,7 @@
   void operator()(const StoreFailed& aReply) const
   {
     StoreState& store = state_.store_;
-    SetReachable(state_, context_, false, aReply.detail_);
+    SetReachable(state_, context_, task_, false, aReply.detail_);
     const Instant next = context_.now_ + RetryDelay(store, context_);
     switch (task_) {
       case StoreTask::kConfiguration:
