--- a/apps/fulmarctl/Main.cpp
+++ b/apps/fulmarctl/Main.cpp
@@ -3,6 +3,7 @@
  */
 #include "ctl/HttpTransport.h"
 #include "ctl/Parser.h"
+#include "ctl/RequestTrace.h"
 #include "ctl/Session.h"
 #include "model/Address.h"
 
@@ -61,6 +62,9 @@
                         "[FULMARWAY_TIMEOUT]",
                         cxxopts::value<std::string>());
   options.add_options()("file", "Read statements from a file", cxxopts::value<std::string>());
+  options.add_options()("trace",
+                        "Print the lines of a request from the logs that are given as arguments",
+                        cxxopts::value<std::string>());
   options.add_options()("help", "Show this help");
   options.add_options()("version", "Show the version");
   return options;
@@ -189,17 +193,44 @@
   return status;
 }
 
+std::string
+ReadFile(const std::string& aFlag, const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    throw SettingFault{ aFlag + " " + aPath + ": cannot be read" };
+  }
+  return ReadAll(file);
+}
+
+/** Needs no node: prints the lines of a request from log files. */
+ExitStatus
+RunTrace(const std::string& aId, const std::vector<std::string>& aPaths)
+{
+  if (aId.empty() || aPaths.empty()) {
+    throw SettingFault{ "--trace " + aId + ": must be an id, followed by log files" };
+  }
+  std::vector<NodeLog> logs;
+  for (const std::string& path : aPaths) {
+    logs.push_back({ path, ReadFile("--trace", path) });
+  }
+  const auto trace = TraceRequest(aId, logs);
+  if (trace.empty()) {
+    std::cerr << "no line about " << aId << "; lines above the bound of their event are left out\n";
+    return ExitStatus::kRefused;
+  }
+  std::cout << RenderTrace(trace);
+  return ExitStatus::kDone;
+}
+
 ExitStatus
 RunSettings(const Settings& aSettings)
 {
   Client client(aSettings.client_, MakeEnvironment());
   Session session(client, aSettings.format_, std::cout, std::cerr);
   if (!aSettings.file_.empty()) {
-    std::ifstream file(aSettings.file_, std::ios::binary);
-    if (!file) {
-      throw SettingFault{ "--file " + aSettings.file_ + ": cannot be read" };
-    }
-    return RunText(session, aSettings, ReadAll(file), aSettings.file_.c_str());
+    return RunText(
+      session, aSettings, ReadFile("--file", aSettings.file_), aSettings.file_.c_str());
   }
   if (!aSettings.words_.empty()) {
     std::string text;
@@ -230,6 +261,9 @@
       std::cout << "fulmarctl " FULMARWAY_VERSION "\n";
       return Number(ExitStatus::kDone);
     }
+    if (flags.count("trace") > 0) {
+      return Number(RunTrace(flags["trace"].as<std::string>(), flags.unmatched()));
+    }
     return Number(RunSettings(ReadSettings(flags)));
   } catch (const SettingFault& fault) {
     std::cerr << fault.message_ << '\n';
--- /dev/null
+++ b/packages/ctl/RequestTrace.cpp
@@ -0,0 +1,72 @@
+#include "ctl/RequestTrace.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace fulmarway {
+
+namespace {
+
+/** The value of " NAME=VALUE" in a line of key=value fields; empty when there is none. */
+std::string_view
+FieldOf(std::string_view aLine, std::string_view aName)
+{
+  std::size_t at = 0;
+  while ((at = aLine.find(aName, at)) != std::string_view::npos) {
+    const std::size_t value = at + aName.size();
+    const bool startsField = at == 0 || aLine[at - 1] == ' ';
+    if (startsField && value < aLine.size() && aLine[value] == '=') {
+      const std::string_view rest = aLine.substr(value + 1);
+      return rest.substr(0, rest.find(' '));
+    }
+    at = value;
+  }
+  return {};
+}
+
+/** Whether aCall is aId or one of its deeper calls. */
+bool
+IsCallOf(std::string_view aCall, std::string_view aId)
+{
+  return aCall.starts_with(aId) && (aCall.size() == aId.size() || aCall[aId.size()] == '.');
+}
+
+bool
+Concerns(std::string_view aLine, std::string_view aId)
+{
+  const std::string_view request = FieldOf(aLine, "request");
+  return (!request.empty() && (IsCallOf(request, aId) || IsCallOf(aId, request))) ||
+         FieldOf(aLine, "click") == aId;
+}
+
+} // namespace
+
+std::vector<TraceLine>
+TraceRequest(std::string_view aId, const std::vector<NodeLog>& aLogs)
+{
+  std::vector<TraceLine> trace;
+  for (const NodeLog& log : aLogs) {
+    std::istringstream stream(log.text_);
+    for (std::string line; std::getline(stream, line);) {
+      if (Concerns(line, aId)) {
+        trace.push_back({ log.name_, std::string(FieldOf(line, "time")), std::move(line) });
+      }
+    }
+  }
+  std::stable_sort(trace.begin(), trace.end(), [](const TraceLine& aLeft, const TraceLine& aRight) {
+    return aLeft.time_ < aRight.time_;
+  });
+  return trace;
+}
+
+std::string
+RenderTrace(const std::vector<TraceLine>& aTrace)
+{
+  std::string text;
+  for (const TraceLine& line : aTrace) {
+    text += line.node_ + ": " + line.line_ + '\n';
+  }
+  return text;
+}
+
+} // namespace fulmarway
