--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -108,10 +108,13 @@
               usesPlatformInterface ? platform::MakeInterface() : MakeOwnInterface(),
               { ReadMonotonicClock, ReadWallClockMs, DrawRandomValue },
               [output] { return output->DroppedLines(); });
-    spdlog::info("event=started service={} domain={} peer_address={}",
+    spdlog::info("event=started service={} domain={} peer_address={} retry_share_per_mille={} "
+                 "stop_timeout_ms={}",
                  aSettings.node_.identity_.service_,
                  aSettings.node_.identity_.domain_,
-                 aSettings.node_.identity_.peerAddress_);
+                 aSettings.node_.identity_.peerAddress_,
+                 aSettings.node_.backendRetries_.sharePerMille_,
+                 aSettings.node_.stopTimeout_ / std::chrono::milliseconds(1));
     node.Run(gSignals);
     spdlog::info("event=stopped");
     spdlog::default_logger()->flush();
--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -27,6 +27,11 @@
   std::uint32_t reservedTokens_ = 0;
   /** The request was already sent to another node, which counts it in its offered load. */
   bool offeredBefore_ = false;
+  /** A backend server may already have worked on this request, or on the request that makes this
+   * call. The calls that it makes count as retries too. */
+  bool repeat_ = false;
+  /** The request may be executed more than once. */
+  bool idempotent_ = false;
 
   bool operator==(const CallRequest&) const = default;
 };
@@ -42,6 +47,9 @@
   /** The lowest admission level of the downstream services that requests of this kind require, as
    * observed by the receiver. It does not depend on which node of the service is asked. */
   AdmissionLevel downstreamLevel_;
+  /** Mean time that requests of this kind take on the receiver's backend server, with their
+   * downstream calls; zero while unknown. */
+  Duration serviceTime_{ 0 };
 
   bool operator==(const LoadReport&) const = default;
 };
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -37,6 +37,8 @@
       return "Requests with a ticket sent on to the successor of their executor";
     case CounterId::kBackendStarts:
       return "Requests passed to the own backend server";
+    case CounterId::kBackendReoffers:
+      return "Requests that were offered to the local backend server again after a refusal";
     case CounterId::kBackendAnswers:
       return "Answers of the own backend server";
     case CounterId::kBackendFailures:
--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -18,6 +18,7 @@
   "backend_answers_total",
   "backend_failures_total",
   "backend_starts_total",
+  "backend_reoffers_total",
   "calls_answered_total",
   "calls_started_total",
   "cancellations_total",
--- a/packages/policy/Counters.cpp
+++ b/packages/policy/Counters.cpp
@@ -5,11 +5,26 @@
 namespace {
 
 constexpr std::array<std::string_view, kCounterCount> kCounterNames = {
-  "calls_started",   "calls_answered",      "attempts",         "retries",
-  "hedges",          "ticket_repeats",      "ticket_redirects", "backend_starts",
-  "backend_answers", "backend_failures",    "cancellations",    "peer_connections_lost",
-  "gossip_received", "gossip_sent",         "log_reads",        "log_read_failures",
-  "log_appends",     "log_append_failures", "config_fetches",
+  "calls_started",
+  "calls_answered",
+  "attempts",
+  "retries",
+  "hedges",
+  "ticket_repeats",
+  "ticket_redirects",
+  "backend_starts",
+  "backend_reoffers",
+  "backend_answers",
+  "backend_failures",
+  "cancellations",
+  "peer_connections_lost",
+  "gossip_received",
+  "gossip_sent",
+  "log_reads",
+  "log_read_failures",
+  "log_appends",
+  "log_append_failures",
+  "config_fetches",
 };
 
 } // namespace
--- a/packages/policy/Counters.h
+++ b/packages/policy/Counters.h
@@ -29,6 +29,7 @@
   kTicketRepeats,
   kTicketRedirects,
   kBackendStarts,
+  kBackendReoffers,
   kBackendAnswers,
   kBackendFailures,
   kCancellations,
--- a/packages/policy/DeploymentBounds.h
+++ b/packages/policy/DeploymentBounds.h
@@ -15,11 +15,16 @@
   std::optional<Duration> drain_;
   /** Time from the stop signal until the process is killed. */
   std::optional<Duration> stop_;
+  /** Repeated arrivals at the backend servers of a service as a share of the requests for it, in a
+   * window of retryWindow_. */
+  std::optional<double> retryShare_;
+  std::optional<Duration> retryWindow_;
 
   bool operator==(const DeploymentBounds&) const = default;
 };
 
-/** Adjusts the times of the node to the bounds. Times without a bound are unchanged. */
+/** Adjusts the times and the retry budget of the node to the bounds. What has no bound is
+ * unchanged. */
 NodeSettings
 WithBounds(NodeSettings aSettings, const DeploymentBounds& aBounds);
 
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -15,6 +15,10 @@
  * Until then the request continues, so that its answer can be cached for retries. */
 constexpr Duration kTicketExecutionGrace = std::chrono::seconds(60);
 
+/** Limit on the offers of a request after refusals by the backend server. If it refuses half of
+ * what it gets at random, 99 of 100 requests are answered. */
+constexpr std::uint32_t kMaxReoffers = 6;
+
 /** Exceeds every deadline that a caller can request. Decoders do not check ranges, and a corrupted
  * duration must not overflow the clock. */
 constexpr Duration kMaxRemainingTime = std::chrono::hours(1);
@@ -28,6 +32,20 @@
     Apply(aState.admission_, Finish(std::move(aState.admission_), aId, aKind, aContext.now_)));
 }
 
+/** Passes the request to the backend server and counts its arrival there. */
+void
+SendToBackend(NodeState& aState, ReduceContext& aContext, RequestId aId, bool aIsRepeat)
+{
+  const InboundRequest& request = aState.inbound_.requests_.at(aId);
+  RecordBackendArrival(aState.inbound_.retries_, aIsRepeat, aContext.now_);
+  aState.counters_.Add(CounterId::kBackendStarts);
+  aContext.effects_.push_back(
+    CallBackend{ { aId,
+                   request.request_,
+                   request.deadline_ - aContext.now_,
+                   aState.backend_ ? aState.backend_->heartbeat_.instance_ : "" } });
+}
+
 void
 StartRequest(NodeState& aState, ReduceContext& aContext, RequestId aId)
 {
@@ -57,12 +75,32 @@
   request.phase_ = InboundPhase::kRunning;
   request.startedAt_ = aContext.now_;
   LogInboundStarted(aContext, aState, request);
-  aState.counters_.Add(CounterId::kBackendStarts);
-  aContext.effects_.push_back(
-    CallBackend{ { aId,
-                   request.request_,
-                   request.deadline_ - aContext.now_,
-                   aState.backend_ ? aState.backend_->heartbeat_.instance_ : "" } });
+  SendToBackend(aState, aContext, aId, request.repeat_);
+}
+
+/** Offers a request again that the backend server refused although it has a free slot; whether the
+ * request may be executed more than once matters, because a late copy of the refusal would look
+ * like the answer to the second offer. Returns whether it did so. */
+bool
+OfferAgain(NodeState& aState, ReduceContext& aContext, RequestId aId)
+{
+  InboundRequest& request = aState.inbound_.requests_.at(aId);
+  const bool isPossible = request.idempotent_ && request.request_.routed_ &&
+                          request.phase_ == InboundPhase::kRunning &&
+                          request.reoffers_ < kMaxReoffers && aContext.now_ < request.deadline_ &&
+                          RunningCount(aState.admission_) < LimitOf(aState.admission_) &&
+                          AcceptsNewWork(aState, aContext.now_);
+  if (!isPossible || !AllowsBackendRetry(aState.inbound_.retries_,
+                                         request.request_.importance_,
+                                         RootRequestBucket(request.request_.rootRequestId_),
+                                         request.request_.depth_,
+                                         aContext.now_)) {
+    return false;
+  }
+  request.reoffers_ += 1;
+  aState.counters_.Add(CounterId::kBackendReoffers);
+  SendToBackend(aState, aContext, aId, true);
+  return true;
 }
 
 bool
@@ -146,6 +184,9 @@
   request.request_ = aCall.request_;
   request.phase_ = aPhase;
   request.requester_ = aRequester;
+  request.repeat_ = aCall.repeat_;
+  request.idempotent_ = aCall.idempotent_;
+  request.repeat_ = aCall.repeat_;
   request.deadline_ =
     aContext.now_ + std::clamp(aCall.remaining_, Duration{ 0 }, kMaxRemainingTime);
   if (aPhase == InboundPhase::kJoined) {
@@ -379,6 +420,9 @@
     return;
   }
   aState.counters_.Add(CounterId::kBackendAnswers);
+  if (aEvent.refused_ && OfferAgain(aState, aContext, aEvent.request_)) {
+    return;
+  }
   const auto ticket = found->second.request_.ticket_;
   constexpr std::uint16_t kFirstServerErrorStatus = 500;
   const bool hasFailed = aEvent.refused_ || aEvent.answer_.status_ >= kFirstServerErrorStatus;
--- a/packages/policy/NodeState.cpp
+++ b/packages/policy/NodeState.cpp
@@ -74,6 +74,7 @@
   state.admission_ = MakeAdmission({}, aNow);
   state.tickets_ = MakeTicketTable(aSettings.tickets_, self.id_, self.incarnation_, aNow);
   state.budget_ = MakeRetryBudget(aSettings.retries_);
+  state.inbound_.retries_.settings_ = aSettings.backendRetries_;
   state.control_.lastSnapshotAt_ = aNow;
   state.settings_ = std::move(aSettings);
   return state;
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -9,6 +9,7 @@
 #include "model/Step.h"
 #include "policy/Admission.h"
 #include "policy/BackendHeartbeats.h"
+#include "policy/BackendRetryBudget.h"
 #include "policy/CallDependencies.h"
 #include "policy/ConfigFold.h"
 #include "policy/Counters.h"
@@ -38,6 +39,7 @@
   std::vector<std::string> seeds_;
   TicketSettings tickets_;
   RetryBudgetSettings retries_;
+  BackendRetrySettings backendRetries_;
   MembershipSettings membership_;
   /** How long the log service keeps records. */
   Duration logRetention_ = std::chrono::hours(1);
@@ -88,6 +90,11 @@
   Instant startedAt_;
   /** Retry tokens reserved by a joined request. They are returned, since it is not executed. */
   std::uint32_t joinedRetryTokens_ = 0;
+  /** As in CallRequest. */
+  bool repeat_ = false;
+  bool idempotent_ = false;
+  /** How often this node offered the request to its backend server again after a refusal. */
+  std::uint32_t reoffers_ = 0;
   /** Downstream calls of this request that were refused as not run. */
   std::set<DownstreamCall> refusedDownstreamCalls_;
 
@@ -103,6 +110,7 @@
    */
   std::unordered_map<std::string, RequestId> byCallerId_;
   CallDependencies dependencies_;
+  BackendRetryBudget retries_;
 
   bool operator==(const InboundState&) const = default;
 };
@@ -147,6 +155,10 @@
   std::optional<RequestId> likelyParent_;
   /** Attempts sent in place of ones that were refused before they reached a backend server. */
   std::uint32_t replacementAttempts_ = 0;
+  /** The call was made by a request that is itself a repeat, see CallRequest. */
+  bool madeByRepeat_ = false;
+  /** A backend server has received an attempt that ended. */
+  bool hasReachedBackend_ = false;
 
   bool operator==(const OutboundCall&) const = default;
 };
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -8,7 +8,6 @@
 #include "policy/RoutedCalls.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace fulmarway {
 
@@ -201,10 +200,10 @@
   if (aWritten) {
     aState.budget_ = ForfeitReservation(std::move(aState.budget_), aAttempt);
     call.mayHaveRun_ = true;
+    call.hasReachedBackend_ = true;
   } else {
     // The request was not written, so its reserved tokens have not left this node.
-    aState.budget_ = SettleReservation(
-      std::move(aState.budget_), aAttempt, std::numeric_limits<std::uint32_t>::max());
+    aState.budget_ = ReturnReservation(std::move(aState.budget_), aAttempt);
   }
   ReportAttemptEnd(aState,
                    aContext,
@@ -386,6 +385,7 @@
     return;
   }
   call.mayHaveRun_ = call.mayHaveRun_ || !isNotRun;
+  call.hasReachedBackend_ = call.hasReachedBackend_ || MayHaveReachedBackend(aRefused.refusal_);
   RetryOrEnd(aState, aContext, *callId, aRefused.refusal_);
 }
 
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -73,6 +73,7 @@
 SendAttempt(NodeState& aState, ReduceContext& aContext, CallId aCall, NodeId aTarget, bool aIsHedge)
 {
   OutboundCall& call = aState.outbound_.calls_.at(aCall);
+  const bool isRepeat = call.madeByRepeat_ || call.hasReachedBackend_ || !call.attempts_.empty();
   const AttemptId attempt{ aState.outbound_.nextId_++ };
   call.attempts_.emplace(attempt, Attempt{ aTarget, aContext.now_, aIsHedge, std::nullopt });
   call.triedNodes_.push_back(aTarget);
@@ -89,16 +90,16 @@
                         call.request_,
                         call.deadline_ - aContext.now_,
                         tokens,
-                        call.triedNodes_.size() > 1 });
+                        call.triedNodes_.size() > 1,
+                        isRepeat,
+                        call.idempotent_ });
 }
 
 RouteQuery
 MakeRouteQuery(ReduceContext& aContext, const OutboundCall& aCall)
 {
-  return { aCall.request_.importance_,
-           RootRequestBucket(aCall.request_.rootRequestId_),
-           StableHash(aCall.request_.kind_),
-           aCall.triedNodes_,
+  return { aCall.request_.importance_,       RootRequestBucket(aCall.request_.rootRequestId_),
+           StableHash(aCall.request_.kind_), aCall.triedNodes_,
            aContext.random_.Next() };
 }
 
--- a/packages/policy/RetryBudget.cpp
+++ b/packages/policy/RetryBudget.cpp
@@ -125,6 +125,14 @@
   return aState;
 }
 
+RetryBudget
+ReturnReservation(RetryBudget aState, AttemptId aAttempt)
+{
+  const auto found = aState.reservations_.find(aAttempt);
+  const std::uint32_t reserved = found == aState.reservations_.end() ? 0 : found->second.tokens_;
+  return SettleReservation(std::move(aState), aAttempt, reserved);
+}
+
 RetryBudget
 ForfeitReservation(RetryBudget aState, AttemptId aAttempt)
 {
--- a/packages/policy/RetryBudget.h
+++ b/packages/policy/RetryBudget.h
@@ -100,6 +100,10 @@
 RetryBudget
 SettleReservation(RetryBudget aState, AttemptId aAttempt, std::uint32_t aReturned);
 
+/** Closes the reservation of an attempt that was not written; its tokens return to the pool. */
+RetryBudget
+ReturnReservation(RetryBudget aState, AttemptId aAttempt);
+
 /** Closes the reservation of an attempt whose answer was lost; its tokens count as spent. */
 RetryBudget
 ForfeitReservation(RetryBudget aState, AttemptId aAttempt);
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -99,6 +99,8 @@
     call.likelyParent_ =
       FindLikelyParent(aState.inbound_, origin.routed_->requestId_, callDeadline);
   }
+  call.madeByRepeat_ =
+    call.likelyParent_ && aState.inbound_.requests_.at(*call.likelyParent_).repeat_;
   call.request_ = MakeRequest(aState, aContext, origin, call.likelyParent_, aRoute, aService);
   call.origin_.body_.clear();
   call.origin_.routed_.reset();
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -298,7 +298,9 @@
            aValue.request_,
            aValue.remaining_,
            aValue.reservedTokens_,
-           aValue.offeredBefore_);
+           aValue.offeredBefore_,
+           aValue.repeat_,
+           aValue.idempotent_);
 }
 
 template<class Archive>
@@ -312,7 +314,12 @@
 void
 serialize(Archive& aArchive, LoadReport& aValue)
 {
-  aArchive(aValue.level_, aValue.limit_, aValue.running_, aValue.queued_, aValue.downstreamLevel_);
+  aArchive(aValue.level_,
+           aValue.limit_,
+           aValue.running_,
+           aValue.queued_,
+           aValue.downstreamLevel_,
+           aValue.serviceTime_);
 }
 
 template<class Archive>
