--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -157,6 +157,8 @@
 {
   if (aKind == CompletionKind::kSucceeded) {
     RecordServiceTime(aState.fastTimes_, aRequest.kindKey_, aNow - aRequest.startedAt_, aNow);
+  } else {
+    RecordCensoredServiceTime(aState.fastTimes_, aRequest.kindKey_, aNow - aRequest.startedAt_);
   }
   if (!aRequest.longRunning_) {
     const ServiceOutcome outcome = aKind == CompletionKind::kSucceeded ? ServiceOutcome::kCompleted
--- a/packages/policy/FastServiceTimes.cpp
+++ b/packages/policy/FastServiceTimes.cpp
@@ -13,6 +13,7 @@
  * requests that could finish. */
 constexpr double kStepUp = 0.01;
 constexpr double kStepDown = 0.09;
+constexpr double kMinMeanGain = 0.02;
 constexpr Duration kDecayDelay = std::chrono::seconds(1);
 constexpr double kDecayPerWindow = 0.8;
 
@@ -28,6 +29,13 @@
   return aTimes[aKindKey];
 }
 
+/** Weight of the next sample; during the first ones, all have an equal weight. */
+double
+MeanGain(const FastServiceTime& aTime)
+{
+  return aTime.sampleCount_ < kMinSamples ? 1.0 / (aTime.sampleCount_ + 1) : kMinMeanGain;
+}
+
 } // namespace
 
 void
@@ -38,6 +46,7 @@
 {
   FastServiceTime& time = FindOrInsert(aTimes, aKindKey);
   const auto us = static_cast<double>(aServiceTime.count());
+  time.meanUs_ += MeanGain(time) * (us - time.meanUs_);
   if (time.sampleCount_ < kMinSamples) {
     time.fastUs_ = time.sampleCount_ == 0 ? us : std::min(time.fastUs_, us);
     time.sampleCount_ += 1;
@@ -47,6 +56,16 @@
   time.lastSeen_ = aNow;
 }
 
+void
+RecordCensoredServiceTime(FastServiceTimes& aTimes, std::uint64_t aKindKey, Duration aElapsed)
+{
+  const auto found = aTimes.find(aKindKey);
+  const auto us = static_cast<double>(aElapsed.count());
+  if (found != aTimes.end() && us > found->second.meanUs_) {
+    found->second.meanUs_ += MeanGain(found->second) * (us - found->second.meanUs_);
+  }
+}
+
 void
 DecayServiceTimes(FastServiceTimes& aTimes, Instant aNow)
 {
@@ -67,4 +86,14 @@
   return Duration(static_cast<Duration::rep>(found->second.fastUs_));
 }
 
+Duration
+MeanServiceTimeOf(const FastServiceTimes& aTimes, std::uint64_t aKindKey)
+{
+  const auto found = aTimes.find(aKindKey);
+  if (found == aTimes.end() || found->second.sampleCount_ < kMinSamples) {
+    return Duration{ 0 };
+  }
+  return Duration(static_cast<Duration::rep>(found->second.meanUs_));
+}
+
 } // namespace fulmarway
--- a/packages/policy/FastServiceTimes.h
+++ b/packages/policy/FastServiceTimes.h
@@ -1,6 +1,7 @@
 /** \file
- * Estimate of a fast service time (10th percentile) for each kind. A request that cannot finish
- * before its deadline even at this service time is refused before it is executed.
+ * Estimates of service times for each kind. A request that cannot finish before its deadline even
+ * at the fast service time (10th percentile) is refused before it is executed. The mean tells entry
+ * nodes how fast this backend server is.
  */
 #pragma once
 
@@ -16,6 +17,8 @@
   /** Estimate of the 10th percentile: about one completion in ten is faster; microseconds. */
   double fastUs_ = 0;
   std::uint32_t sampleCount_ = 0;
+  /** Moving average of about the last 50 requests, microseconds. */
+  double meanUs_ = 0;
   Instant lastSeen_;
 
   auto operator<=>(const FastServiceTime&) const = default;
@@ -33,9 +36,14 @@
                   Duration aServiceTime,
                   Instant aNow);
 
-/** Lowers the estimates that had no sample for a second; call it once per window. Otherwise a kind
- * that was slow for a while could be refused permanently, because no execution would correct its
- * estimate. */
+/** Records that a request of the kind failed or was abandoned after this time, which is a lower
+ * bound of its service time. */
+void
+RecordCensoredServiceTime(FastServiceTimes& aTimes, std::uint64_t aKindKey, Duration aElapsed);
+
+/** Lowers the fast service times that had no sample for a second; call it once per window.
+ * Otherwise a kind that was slow for a while could be refused permanently, because no execution
+ * would correct its estimate. */
 void
 DecayServiceTimes(FastServiceTimes& aTimes, Instant aNow);
 
@@ -43,4 +51,8 @@
 Duration
 FastServiceTimeOf(const FastServiceTimes& aTimes, std::uint64_t aKindKey);
 
+/** Mean service time of the kind; zero while there are too few samples. */
+Duration
+MeanServiceTimeOf(const FastServiceTimes& aTimes, std::uint64_t aKindKey);
+
 } // namespace fulmarway
--- a/packages/policy/InboundReplies.cpp
+++ b/packages/policy/InboundReplies.cpp
@@ -53,7 +53,8 @@
            LimitOf(aState.admission_),
            RunningCount(aState.admission_),
            QueuedCount(aState.admission_),
-           downstreamLevel };
+           downstreamLevel,
+           MeanServiceTimeOf(aState.admission_.fastTimes_, StableHash(aKind)) };
 }
 
 void
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -100,7 +100,7 @@
 {
   return { aCall.request_.importance_,       RootRequestBucket(aCall.request_.rootRequestId_),
            StableHash(aCall.request_.kind_), aCall.triedNodes_,
-           aContext.random_.Next() };
+           aContext.random_.Next(),          aCall.request_.routed_ && !aCall.idempotent_ };
 }
 
 void
--- a/packages/policy/Routing.cpp
+++ b/packages/policy/Routing.cpp
@@ -16,6 +16,10 @@
 /** One in this many refused requests is sent as a probe, to detect a change of the level. */
 constexpr std::uint64_t kProbeOneIn = 50;
 constexpr double kDefaultLatencyUs = 10'000;
+/** Candidates drawn for a single attempt. */
+constexpr std::size_t kSingleAttemptDraws = 4;
+/** Use of the slots up to which a request is expected to start without waiting. */
+constexpr double kFreeUse = 0.7;
 constexpr std::uint64_t kSamplesForHedge = 20;
 
 struct ScoredCandidate
@@ -236,6 +240,64 @@
   return aPool[better].candidate_->id_;
 }
 
+/** Service time that the target last reported for the kind; zero while unknown. */
+Duration
+ReportedServiceTime(const RoutingState& aState, NodeId aTarget, std::uint64_t aKindKey)
+{
+  const auto target = aState.targets_.find(aTarget);
+  if (target == aState.targets_.end()) {
+    return Duration{ 0 };
+  }
+  const auto kind = target->second.levels_.find(aKindKey);
+  return kind == target->second.levels_.end() ? Duration{ 0 } : kind->second.serviceTime_;
+}
+
+/** Share of the target's slots in use or waited for, from its last load report. */
+double
+ReportedUse(const RoutingState& aState, NodeId aTarget, Instant aNow)
+{
+  const auto target = aState.targets_.find(aTarget);
+  if (target == aState.targets_.end() || !target->second.load_ ||
+      aNow - target->second.loadAt_ > kLevelReportLifetime) {
+    return 0;
+  }
+  const LoadReport& load = *target->second.load_;
+  return static_cast<double>(load.running_ + load.queued_) / std::max(load.limit_, 1U);
+}
+
+/** The fastest of a few random candidates for a single attempt. A candidate without a report counts
+ * as fast as the fastest one, so that it gets a first request. */
+NodeId
+FastestOfSome(const RoutingState& aState, Pool aPool, const RouteQuery& aQuery, Instant aNow)
+{
+  std::uint64_t seed = aQuery.entropy_;
+  Duration fastest{ 0 };
+  for (const ScoredCandidate& scored : aPool) {
+    const Duration time = ReportedServiceTime(aState, scored.candidate_->id_, aQuery.kindKey_);
+    if (time.count() > 0 && (fastest.count() == 0 || time < fastest)) {
+      fastest = time;
+    }
+  }
+  NodeId best;
+  double bestTime = std::numeric_limits<double>::infinity();
+  for (std::size_t draw = 0; draw < kSingleAttemptDraws && !aPool.empty(); ++draw) {
+    const std::size_t index = DrawIndex(aPool, aPool.size(), seed);
+    const NodeId id = aPool[index].candidate_->id_;
+    const Duration reported = ReportedServiceTime(aState, id, aQuery.kindKey_);
+    const auto time = static_cast<double>(
+      (reported.count() > 0 ? reported : std::max(fastest, Duration{ 1 })).count());
+    // Waiting for a slot costs about a service time for each full use of the slots.
+    const double use = ReportedUse(aState, id, aNow);
+    const double expected = time * (1 + (use > kFreeUse ? use : 0));
+    if (expected < bestTime) {
+      bestTime = expected;
+      best = id;
+    }
+    aPool.erase(aPool.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+  return best;
+}
+
 TargetObservations&
 ObservationsOf(RoutingState& aState, NodeId aTarget, Instant aNow)
 {
@@ -291,6 +353,12 @@
     return std::find(aQuery.tried_.begin(), aQuery.tried_.end(), aScored.candidate_->id_) ==
            aQuery.tried_.end();
   });
+  if (aQuery.singleAttempt_) {
+    pool = Prefer(std::move(pool), [](const ScoredCandidate& aScored) {
+      return Distance(*aScored.candidate_) <= 1;
+    });
+    return { RouteVerdict::kChosen, FastestOfSome(aState, std::move(pool), aQuery, aNow) };
+  }
   return { RouteVerdict::kChosen, BetterOfTwo(NearestUseful(pool), seed) };
 }
 
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -41,6 +41,8 @@
   /** Targets of earlier attempts of the same call; avoided while there are others. */
   std::vector<NodeId> tried_;
   std::uint64_t entropy_ = 0;
+  /** A request that cannot be sent again if its only attempt takes too long. */
+  bool singleAttempt_ = false;
 
   auto operator<=>(const RouteQuery&) const = default;
 };
@@ -97,6 +99,7 @@
   AdmissionLevel level_ = kHighestAdmissionLevel;
   /** As in LoadReport. */
   AdmissionLevel downstreamLevel_ = kHighestAdmissionLevel;
+  Duration serviceTime_{ 0 };
   Instant at_;
   /** Consecutive requests that succeeded although the level reported before their start refuses
    * them. */
@@ -148,7 +151,9 @@
 };
 
 /** Chooses the better of two random candidates by outstanding attempts and latency; prefers those
- * in the local failure domain. */
+ * in the local failure domain. For a single attempt, chooses the fastest of a few candidates of all
+ * failure domains by the service time that they report for the kind: a request that takes several
+ * times its usual time misses its deadline on a slow backend server, and no hedge can help it. */
 RouteDecision
 ChooseTarget(const RoutingState& aState,
              std::span<const RouteCandidate> aCandidates,
--- a/packages/policy/TargetObservations.cpp
+++ b/packages/policy/TargetObservations.cpp
@@ -107,6 +107,7 @@
   }
   kind.level_ = aReport.load_->level_;
   kind.downstreamLevel_ = aReport.load_->downstreamLevel_;
+  kind.serviceTime_ = aReport.load_->serviceTime_;
 }
 
 } // namespace
