--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -153,10 +153,11 @@
 HttpClient::ReadResponse(std::uint64_t aId, Instant aNow)
 {
   Connection& connection = connections_.at(aId);
-  auto parsed = ExtractHttpResponse(connection.input_, settings_.maxBodyBytes_);
+  ResponseProgress& progress = connection.progress_;
+  auto parsed = ContinueHttpResponse(connection.input_, settings_.maxBodyBytes_, progress);
   while (parsed && *parsed && IsStaleAnswer(connection.echo_, (*parsed)->head_)) {
     connection.receivedStaleAnswer_ = true;
-    parsed = ExtractHttpResponse(connection.input_, settings_.maxBodyBytes_);
+    parsed = ContinueHttpResponse(connection.input_, settings_.maxBodyBytes_, progress);
   }
   if (!parsed) {
     Fail(aId);
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -93,6 +93,7 @@
     bool receivedStaleAnswer_ = false;
     Instant deadline_;
     Instant idleSince_;
+    ResponseProgress progress_ = {};
   };
 
   std::uint64_t Connect();
--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -121,8 +121,8 @@
   if (connection.exchange_ || connection.closing_ || connection.channel_.PendingBytes() > 0) {
     return;
   }
-  auto parsed =
-    ExtractHttpRequestWithLimits(connection.input_, limits_.maxHeaderBytes_, limits_.maxBodyBytes_);
+  auto parsed = ContinueHttpRequest(
+    connection.input_, limits_.maxHeaderBytes_, limits_.maxBodyBytes_, connection.progress_);
   if (!parsed) {
     ++aEvents.invalid_;
     Refuse(aId, connection, parsed.error());
@@ -239,7 +239,7 @@
 {
   return aConnection.requestStartedAt_ && !aConnection.closing_ &&
          aNow >= *aConnection.requestStartedAt_ + limits_.headerTimeout_ &&
-         !HasCompleteHead(aConnection.input_);
+         !aConnection.progress_.head_;
 }
 
 void
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -103,6 +103,7 @@
     Instant lastUsedAt_;
     /** When the first byte of an incomplete request was received. */
     std::optional<Instant> requestStartedAt_ = {};
+    RequestProgress progress_ = {};
   };
 
   /** Parses the next request once the previous reply is completely written. */
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -15,6 +15,8 @@
 constexpr int kMaxHeaderFields = 100;
 /** Largest line with a chunk size and its extensions, which are ignored. */
 constexpr std::size_t kMaxChunkLineBytes = 256;
+/** Decoded chunks are removed from the buffer in blocks, since each removal moves the rest. */
+constexpr std::size_t kDecodedBlockBytes = 64U << 10;
 
 enum class BodyError : std::uint8_t
 {
@@ -63,12 +65,21 @@
   return end;
 }
 
+/** Decodes the chunks that are complete and removes them from aBuffer once they fill a block. */
+template<typename Head>
 BodyResult
-DecodeChunkedBody(std::string_view aBuffer, std::size_t aStart, std::size_t aMaxBytes)
+DecodeChunkedBody(std::string& aBuffer, DecodeProgress<Head>& aProgress, std::size_t aMaxBytes)
 {
-  FramedBody framed;
-  std::size_t position = aStart;
+  std::size_t& position = aProgress.chunkStart_;
+  const auto moveTo = [&](std::size_t aPosition) {
+    aProgress.framedBytes_ += aPosition - position;
+    position = aPosition;
+  };
   while (true) {
+    if (position - aProgress.bodyStart_ > kDecodedBlockBytes) {
+      aBuffer.erase(aProgress.bodyStart_, position - aProgress.bodyStart_);
+      position = aProgress.bodyStart_;
+    }
     const auto lineEnd = FindDelimiter(aBuffer, kLineEnd, position, kMaxChunkLineBytes);
     if (!lineEnd) {
       return tl::unexpected(lineEnd.error());
@@ -76,15 +87,15 @@
     if (!*lineEnd) {
       return std::nullopt;
     }
-    std::string_view line = aBuffer.substr(position, **lineEnd - position);
+    std::string_view line = std::string_view(aBuffer).substr(position, **lineEnd - position);
     line = line.substr(0, std::min(line.find(';'), line.size()));
     const auto size = ParseNumber(line, 16);
     if (!size) {
       return tl::unexpected(BodyError::kMalformed);
     }
-    // The buffer also holds the chunk lines; without a limit they could be many times the body.
-    const std::size_t framingBytes = position - aStart - framed.body_.size();
-    if (*size > aMaxBytes - framed.body_.size() || framingBytes > aMaxBytes + kMaxHeaderBytes) {
+    // Without a limit, the chunk lines could be many times the body.
+    const std::size_t framingBytes = aProgress.framedBytes_ - aProgress.body_.size();
+    if (*size > aMaxBytes - aProgress.body_.size() || framingBytes > aMaxBytes + kMaxHeaderBytes) {
       return tl::unexpected(BodyError::kTooLarge);
     }
     if (*size == 0) {
@@ -95,19 +106,18 @@
       if (!*end) {
         return std::nullopt;
       }
-      framed.end_ = **end;
-      return framed;
+      return FramedBody{ std::move(aProgress.body_), **end };
     }
-    position = **lineEnd + kLineEnd.size();
-    if (aBuffer.size() < position + *size + kLineEnd.size()) {
+    const std::size_t chunk = **lineEnd + kLineEnd.size();
+    if (aBuffer.size() < chunk + *size + kLineEnd.size()) {
       return std::nullopt;
     }
-    framed.body_ += aBuffer.substr(position, *size);
-    position += *size;
-    if (aBuffer.substr(position, kLineEnd.size()) != kLineEnd) {
+    const std::size_t chunkEnd = chunk + *size;
+    if (std::string_view(aBuffer).substr(chunkEnd, kLineEnd.size()) != kLineEnd) {
       return tl::unexpected(BodyError::kMalformed);
     }
-    position += kLineEnd.size();
+    aProgress.body_.append(aBuffer, chunk, *size);
+    moveTo(chunkEnd + kLineEnd.size());
   }
 }
 
@@ -129,23 +139,23 @@
   return declaredLengths <= 1;
 }
 
+template<typename Head>
 BodyResult
-DecodeBody(const Poco::Net::HTTPMessage& aHead,
-           std::string_view aBuffer,
-           std::size_t aStart,
+DecodeBody(std::string& aBuffer,
+           DecodeProgress<Head>& aProgress,
            std::size_t aMaxBytes,
            std::optional<std::size_t> aDefaultLength)
 {
-  if (!HasUnambiguousLength(aHead)) {
+  const Head& head = *aProgress.head_;
+  if (!HasUnambiguousLength(head)) {
     return tl::unexpected(BodyError::kMalformed);
   }
-  const bool isChunked = aHead.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
-  if (isChunked) {
-    return DecodeChunkedBody(aBuffer, aStart, aMaxBytes);
+  if (head.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING)) {
+    return DecodeChunkedBody(aBuffer, aProgress, aMaxBytes);
   }
   std::optional<std::size_t> length = aDefaultLength;
-  if (aHead.hasContentLength()) {
-    length = ParseNumber(aHead.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), 10);
+  if (head.hasContentLength()) {
+    length = ParseNumber(head.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), 10);
     if (!length) {
       return tl::unexpected(BodyError::kMalformed);
     }
@@ -156,10 +166,11 @@
   if (*length > aMaxBytes) {
     return tl::unexpected(BodyError::kTooLarge);
   }
-  if (aBuffer.size() - aStart < *length) {
+  if (aBuffer.size() - aProgress.bodyStart_ < *length) {
     return std::nullopt;
   }
-  return FramedBody{ std::string(aBuffer.substr(aStart, *length)), aStart + *length };
+  return FramedBody{ aBuffer.substr(aProgress.bodyStart_, *length),
+                     aProgress.bodyStart_ + *length };
 }
 
 bool
@@ -300,29 +311,45 @@
          status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
 }
 
-struct ResponseHead
+enum class HeadStatus : std::uint8_t
 {
-  Poco::Net::HTTPResponse head_;
-  std::size_t bodyStart_ = 0;
+  kIncomplete,
+  kComplete,
+  kTooLarge,
+  kMalformed,
 };
 
-/** nullopt while the head is incomplete. */
-tl::expected<std::optional<ResponseHead>, UserError>
-FindResponseHead(std::string_view aBuffer)
+/** Finds and parses the head unless aProgress has it already. */
+template<typename Head>
+HeadStatus
+FindHead(std::string_view aBuffer, std::size_t aMaxBytes, DecodeProgress<Head>& aProgress)
 {
-  const std::size_t headEnd = aBuffer.find(kHeadEnd);
-  if (std::min(headEnd, aBuffer.size()) > kMaxHeaderBytes) {
-    return tl::unexpected(UserError{ "response head", "larger than the limit" });
+  if (aProgress.head_) {
+    return HeadStatus::kComplete;
   }
-  if (headEnd == std::string::npos) {
-    return std::nullopt;
+  const std::size_t headEnd = aBuffer.find(kHeadEnd, aProgress.searchedBytes_);
+  if (std::min(headEnd, aBuffer.size()) > aMaxBytes) {
+    return HeadStatus::kTooLarge;
   }
-  const std::size_t bodyStart = headEnd + kHeadEnd.size();
-  auto head = ParseHead<Poco::Net::HTTPResponse>(aBuffer.substr(0, bodyStart));
-  if (!head) {
-    return tl::unexpected(UserError{ "response head", "malformed" });
+  if (headEnd == std::string_view::npos) {
+    aProgress.searchedBytes_ = aBuffer.size() - std::min(aBuffer.size(), kHeadEnd.size() - 1);
+    return HeadStatus::kIncomplete;
   }
-  return ResponseHead{ *head, bodyStart };
+  aProgress.bodyStart_ = headEnd + kHeadEnd.size();
+  aProgress.chunkStart_ = aProgress.bodyStart_;
+  aProgress.head_ = ParseHead<Head>(aBuffer.substr(0, aProgress.bodyStart_));
+  return aProgress.head_ ? HeadStatus::kComplete : HeadStatus::kMalformed;
+}
+
+/** The complete message, which is removed from aBuffer. */
+template<typename Head>
+HttpMessage<Head>
+RemoveMessage(std::string& aBuffer, DecodeProgress<Head>& aProgress, FramedBody aBody)
+{
+  HttpMessage<Head> message{ std::move(*aProgress.head_), std::move(aBody.body_) };
+  aBuffer.erase(0, aBody.end_);
+  aProgress = {};
+  return message;
 }
 
 std::string
@@ -358,12 +385,6 @@
 
 } // namespace
 
-bool
-HasCompleteHead(std::string_view aBuffer)
-{
-  return aBuffer.find(kHeadEnd) != std::string_view::npos;
-}
-
 tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
 ExtractHttpRequest(std::string& aBuffer, std::size_t aMaxBodyBytes)
 {
@@ -375,46 +396,71 @@
                              std::size_t aMaxHeaderBytes,
                              std::size_t aMaxBodyBytes)
 {
-  const std::size_t headEnd = aBuffer.find(kHeadEnd);
-  if (std::min(headEnd, aBuffer.size()) > aMaxHeaderBytes) {
-    return tl::unexpected(InvalidRequest{ 431, { "head", "larger than the limit" } });
+  std::string buffer = aBuffer;
+  RequestProgress progress;
+  auto request = ContinueHttpRequest(buffer, aMaxHeaderBytes, aMaxBodyBytes, progress);
+  if (request && *request) {
+    aBuffer = std::move(buffer);
   }
-  if (headEnd == std::string::npos) {
-    return std::nullopt;
-  }
-  const std::size_t bodyStart = headEnd + kHeadEnd.size();
-  auto head = ParseHead<Poco::Net::HTTPRequest>(std::string_view(aBuffer).substr(0, bodyStart));
-  if (!head) {
-    return tl::unexpected(InvalidRequest{ 400, { "head", "malformed" } });
+  return request;
+}
+
+tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
+ContinueHttpRequest(std::string& aBuffer,
+                    std::size_t aMaxHeaderBytes,
+                    std::size_t aMaxBodyBytes,
+                    RequestProgress& aProgress)
+{
+  switch (FindHead(aBuffer, aMaxHeaderBytes, aProgress)) {
+    case HeadStatus::kIncomplete:
+      return std::nullopt;
+    case HeadStatus::kTooLarge:
+      return tl::unexpected(InvalidRequest{ 431, { "head", "larger than the limit" } });
+    case HeadStatus::kMalformed:
+      return tl::unexpected(InvalidRequest{ 400, { "head", "malformed" } });
+    case HeadStatus::kComplete:
+      break;
   }
-  auto framed = DecodeBody(*head, aBuffer, bodyStart, aMaxBodyBytes, 0);
+  auto framed = DecodeBody(aBuffer, aProgress, aMaxBodyBytes, 0);
   if (!framed) {
     return tl::unexpected(ToInvalidRequest(framed.error()));
   }
   if (!*framed) {
     return std::nullopt;
   }
-  HttpRequestMessage message{ *head, std::move((*framed)->body_) };
-  aBuffer.erase(0, (*framed)->end_);
-  return message;
+  return RemoveMessage(aBuffer, aProgress, std::move(**framed));
 }
 
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 ExtractHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes)
 {
-  const auto head = FindResponseHead(aBuffer);
-  if (!head) {
-    return tl::unexpected(head.error());
+  std::string buffer = aBuffer;
+  ResponseProgress progress;
+  auto response = ContinueHttpResponse(buffer, aMaxBodyBytes, progress);
+  if (response && *response) {
+    aBuffer = std::move(buffer);
   }
-  if (!*head) {
-    return std::nullopt;
+  return response;
+}
+
+tl::expected<std::optional<HttpResponseMessage>, UserError>
+ContinueHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes, ResponseProgress& aProgress)
+{
+  switch (FindHead(aBuffer, kMaxHeaderBytes, aProgress)) {
+    case HeadStatus::kIncomplete:
+      return std::nullopt;
+    case HeadStatus::kTooLarge:
+      return tl::unexpected(UserError{ "response head", "larger than the limit" });
+    case HeadStatus::kMalformed:
+      return tl::unexpected(UserError{ "response head", "malformed" });
+    case HeadStatus::kComplete:
+      break;
   }
   const auto defaultLength =
-    HasNoBody((*head)->head_) ? std::optional<std::size_t>(0) : std::nullopt;
-  auto framed =
-    DecodeBody((*head)->head_, aBuffer, (*head)->bodyStart_, aMaxBodyBytes, defaultLength);
+    HasNoBody(*aProgress.head_) ? std::optional<std::size_t>(0) : std::nullopt;
+  auto framed = DecodeBody(aBuffer, aProgress, aMaxBodyBytes, defaultLength);
   if (!framed && framed.error() == BodyError::kNoLength &&
-      aBuffer.size() - (*head)->bodyStart_ <= aMaxBodyBytes) {
+      aBuffer.size() - aProgress.bodyStart_ <= aMaxBodyBytes) {
     // The body ends when the connection closes, see ParseCloseDelimitedResponse().
     return std::nullopt;
   }
@@ -424,25 +470,23 @@
   if (!*framed) {
     return std::nullopt;
   }
-  HttpResponseMessage message{ (*head)->head_, std::move((*framed)->body_) };
-  aBuffer.erase(0, (*framed)->end_);
-  return message;
+  return RemoveMessage(aBuffer, aProgress, std::move(**framed));
 }
 
 tl::expected<HttpResponseMessage, UserError>
 ParseCloseDelimitedResponse(std::string aBuffer, std::size_t aMaxBodyBytes)
 {
-  const auto head = FindResponseHead(aBuffer);
-  if (!head) {
-    return tl::unexpected(head.error());
-  }
-  const bool isCloseDelimited = *head && HasUnambiguousLength((*head)->head_) &&
-                                !(*head)->head_.hasContentLength() &&
-                                !(*head)->head_.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
-  if (!isCloseDelimited || aBuffer.size() - (*head)->bodyStart_ > aMaxBodyBytes) {
+  ResponseProgress progress;
+  if (FindHead(aBuffer, kMaxHeaderBytes, progress) != HeadStatus::kComplete) {
+    return tl::unexpected(UserError{ "response head", "incomplete, malformed or too large" });
+  }
+  const Poco::Net::HTTPResponse& head = *progress.head_;
+  const bool isCloseDelimited = HasUnambiguousLength(head) && !head.hasContentLength() &&
+                                !head.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+  if (!isCloseDelimited || aBuffer.size() - progress.bodyStart_ > aMaxBodyBytes) {
     return tl::unexpected(UserError{ "response", "truncated or too large" });
   }
-  return HttpResponseMessage{ (*head)->head_, aBuffer.substr((*head)->bodyStart_) };
+  return HttpResponseMessage{ head, aBuffer.substr(progress.bodyStart_) };
 }
 
 std::string
--- a/packages/wire/HttpFraming.h
+++ b/packages/wire/HttpFraming.h
@@ -27,6 +27,27 @@
 using HttpRequestMessage = HttpMessage<Poco::Net::HTTPRequest>;
 using HttpResponseMessage = HttpMessage<Poco::Net::HTTPResponse>;
 
+/** How far the first message of a buffer has been decoded. Without it, a message that arrives in
+ * many small parts would be decoded from its start at each of them, and four answers of 4 MB that
+ * go on by one byte a millisecond would keep a core busy. */
+template<typename Head>
+struct DecodeProgress
+{
+  /** Bytes in which no end of the head begins. */
+  std::size_t searchedBytes_ = 0;
+  /** Set once the head is complete. */
+  std::optional<Head> head_;
+  std::size_t bodyStart_ = 0;
+  /** Next chunk of a chunked body, as an offset in the buffer. */
+  std::size_t chunkStart_ = 0;
+  /** Bytes of the body, and its bytes with the chunk headers, that have been decoded. */
+  std::string body_;
+  std::size_t framedBytes_ = 0;
+};
+
+using RequestProgress = DecodeProgress<Poco::Net::HTTPRequest>;
+using ResponseProgress = DecodeProgress<Poco::Net::HTTPResponse>;
+
 /** Removes the first complete request from aBuffer; nullopt while bytes are missing. After an error
  * the caller of this function must send the error response and close the connection. */
 tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
@@ -38,15 +59,25 @@
                              std::size_t aMaxHeaderBytes,
                              std::size_t aMaxBodyBytes);
 
-/** Whether aBuffer begins with the complete head of a message. */
-bool
-HasCompleteHead(std::string_view aBuffer);
+/** Continues from aProgress, which must belong to aBuffer and is reset when a request was removed.
+ */
+tl::expected<std::optional<HttpRequestMessage>, InvalidRequest>
+ContinueHttpRequest(std::string& aBuffer,
+                    std::size_t aMaxHeaderBytes,
+                    std::size_t aMaxBodyBytes,
+                    RequestProgress& aProgress);
 
 /** Removes the first complete response from aBuffer; nullopt while bytes are missing. A response
  * without a declared length ends with the connection, see ParseCloseDelimitedResponse(). */
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 ExtractHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes);
 
+/** The same from aProgress on, which must belong to aBuffer and is reset when a response was
+ * removed.
+ */
+tl::expected<std::optional<HttpResponseMessage>, UserError>
+ContinueHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes, ResponseProgress& aProgress);
+
 /** Returns the response in aBuffer after the peer has closed the connection in order. The body is
  * everything after the head. A head that is incomplete or declares a length is an error: the
  * response was truncated, since ExtractHttpResponse() removes complete ones. */
