--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -1,6 +1,8 @@
 #include "node/HttpClient.h"
 
 #include <Poco/Exception.h>
+#include <algorithm>
+#include <spdlog/spdlog.h>
 
 namespace fulmarway {
 
@@ -96,6 +98,7 @@
   if (connection.token_) {
     byToken_.erase(*connection.token_);
   }
+  bufferedBytes_ -= connection.bufferedBytes_;
   poller_.Remove({ settings_.role_, aId });
   connection.channel_.Close();
   connections_.erase(aId);
@@ -146,6 +149,27 @@
   }
   if (connections_.contains(id)) {
     poller_.SetWantsWrite({ settings_.role_, id }, connection.channel_.WantsWrite());
+    LimitBufferedBytes(id);
+  }
+}
+
+void
+HttpClient::LimitBufferedBytes(std::uint64_t aId)
+{
+  Connection& connection = connections_.at(aId);
+  bufferedBytes_ -= connection.bufferedBytes_;
+  connection.bufferedBytes_ = connection.input_.size() + connection.progress_.body_.size();
+  bufferedBytes_ += connection.bufferedBytes_;
+  while (bufferedBytes_ > settings_.maxBufferedBytes_) {
+    const auto largest = std::max_element(
+      connections_.begin(), connections_.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.bufferedBytes_ < aRight.second.bufferedBytes_;
+      });
+    spdlog::warn("event=answer_dropped buffered_bytes={} of={} limit={}",
+                 largest->second.bufferedBytes_,
+                 bufferedBytes_,
+                 settings_.maxBufferedBytes_);
+    Fail(largest->first);
   }
 }
 
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -37,6 +37,9 @@
   Poco::Net::SocketAddress address_;
   SocketRole role_ = SocketRole::kBackendConnection;
   std::size_t maxBodyBytes_ = 4U << 20;
+  /** Bound on the incomplete answers of all connections together. Answers without end on as many
+   * connections as the server has slots would otherwise take the memory of the VM. */
+  std::size_t maxBufferedBytes_ = 32U << 20;
   /** A connection that was idle for this long is not reused, since the server may be closing it. */
   Duration maxIdle_ = std::chrono::seconds(3);
 };
@@ -78,6 +81,9 @@
   /** Returns the results since the last call. */
   std::vector<HttpResult> ExtractResults();
 
+  /** Bytes of the incomplete answers on all connections. */
+  std::size_t BufferedBytes() const { return bufferedBytes_; }
+
 private:
   struct Connection
   {
@@ -94,6 +100,8 @@
     Instant deadline_;
     Instant idleSince_;
     ResponseProgress progress_ = {};
+    /** Bytes of the incomplete answer at the last read; part of bufferedBytes_. */
+    std::size_t bufferedBytes_ = 0;
   };
 
   std::uint64_t Connect();
@@ -103,6 +111,9 @@
   /** Closes the connection; its current request, if any, ends as kLost or kNotSent. */
   void Fail(std::uint64_t aId);
   void ReadResponse(std::uint64_t aId, Instant aNow);
+  /** Updates the bytes buffered for the connection. Over the bound, fails the connections that hold
+   * most. */
+  void LimitBufferedBytes(std::uint64_t aId);
   /** Called after a clean close by the server, which ends an answer without a length. */
   void ReadFinalResponse(std::uint64_t aId);
   void AddAnswer(Connection& aConnection, HttpResponseMessage aMessage);
@@ -115,6 +126,8 @@
   std::vector<std::uint64_t> idle_;
   std::unordered_map<std::uint64_t, std::uint64_t> byToken_;
   std::vector<HttpResult> results_;
+  /** Sum of Connection::bufferedBytes_. */
+  std::size_t bufferedBytes_ = 0;
 };
 
 } // namespace fulmarway
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kMaxAdminBodyBytes = 64U << 10;
 /** Large enough for a configuration snapshot with its audit trail at the target size. */
 constexpr std::size_t kMaxLogBodyBytes = 16U << 20;
+/** The store limits a response to about 1 MB. */
+constexpr std::size_t kMaxStoreBodyBytes = 2U << 20;
 constexpr int kMaxDatagramsPerPoll = 256;
 /** Socket timeouts last seconds; request deadlines are enforced by the reducer. */
 constexpr Duration kSocketCheckInterval = std::chrono::milliseconds(100);
@@ -61,6 +63,15 @@
   return aSettings;
 }
 
+/** False for listening sockets and the socket for gossip, which serve all peers. */
+bool
+IsConnection(SocketRole aRole)
+{
+  return aRole != SocketRole::kCallerListener && aRole != SocketRole::kAdminListener &&
+         aRole != SocketRole::kPeerListener && aRole != SocketRole::kHeartbeatListener &&
+         aRole != SocketRole::kGossip;
+}
+
 } // namespace
 
 Node::Node(const ProcessSettings& aSettings,
@@ -97,9 +108,11 @@
       poller_);
   }
   if (interface_.store_ && aSettings.store_) {
-    store_.emplace(
-      HttpClientSettings{ *aSettings.store_, SocketRole::kStoreConnection, kMaxLogBodyBytes },
-      poller_);
+    store_.emplace(HttpClientSettings{ *aSettings.store_,
+                                       SocketRole::kStoreConnection,
+                                       kMaxStoreBodyBytes,
+                                       2 * kMaxStoreBodyBytes },
+                   poller_);
   }
   if (interface_.heartbeats_ && aSettings.reportListen_) {
     heartbeats_.emplace(HttpServerSettings{ *aSettings.reportListen_,
@@ -122,7 +135,7 @@
     const auto ready = poller_.Poll(std::chrono::ceil<std::chrono::milliseconds>(wait));
     now_ = clock_.now_();
     for (const ReadySocket& socket : ready) {
-      HandleReady(socket);
+      HandleReadySafely(socket);
     }
     ProcessSignals(aSignals);
     if (now_ >= nextTickAt) {
@@ -216,6 +229,24 @@
   }
 }
 
+void
+Node::HandleReadySafely(const ReadySocket& aReady)
+{
+  try {
+    HandleReady(aReady);
+  } catch (const std::exception& error) {
+    // The state of the reducer is not involved. The connection gets no further events and is closed
+    // by its timeout.
+    spdlog::error("event=handler_failed role={} connection={} error=\"{}\"",
+                  static_cast<int>(aReady.key_.role_),
+                  aReady.key_.id_,
+                  error.what());
+    if (IsConnection(aReady.key_.role_)) {
+      poller_.Remove(aReady.key_);
+    }
+  }
+}
+
 void
 Node::HandleReady(const ReadySocket& aReady)
 {
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -69,6 +69,8 @@
   void ProcessSignals(const ReceivedSignals& aSignals);
   /** Enforces timeouts on all connections, starts health checks and reports omitted log lines. */
   void CheckSockets();
+  /** Handles the events of a socket. An exception ends its connection and not the process. */
+  void HandleReadySafely(const ReadySocket& aReady);
   void HandleReady(const ReadySocket& aReady);
   void HandleCallerEvents(HttpServerEvents aEvents);
   void HandleAdminEvents(HttpServerEvents aEvents);
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <criterion/criterion.h>
 #include <memory>
+#include <set>
 
 using namespace fulmarway;
 using namespace std::chrono_literals;
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kMaxBody = 1000;
+constexpr std::size_t kMaxBuffered = 3000;
 const std::string kCompleteAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
 
 class Client
@@ -22,7 +24,8 @@
 public:
   Client()
     : listener_(Poco::Net::SocketAddress("127.0.0.1:0"))
-    , client_({ listener_.address(), SocketRole::kBackendConnection, kMaxBody }, poller_)
+    , client_({ listener_.address(), SocketRole::kBackendConnection, kMaxBody, kMaxBuffered },
+              poller_)
   {
     listener_.setBlocking(false);
   }
@@ -300,3 +303,33 @@
     cr_expect_eq(result.response_->body_, std::to_string(result.token_));
   }
 }
+
+/** Guards against incomplete answers without end that together take the memory of the VM, although
+ * each is within its limit. */
+Test(http_client, incomplete_answers_share_one_bound)
+{
+  constexpr std::uint64_t kConnections = 12;
+  Client client;
+  std::vector<std::unique_ptr<LoopbackPeer>> peers;
+  for (std::uint64_t token = 1; token <= kConnections; ++token) {
+    client.Send(token);
+    peers.push_back(client.AcceptRequest(token));
+    peers.back()->Send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + std::string(600, 'x'));
+    client.Settle();
+    cr_assert_leq(client.client_.BufferedBytes(), kMaxBuffered);
+  }
+  cr_assert(client.RunUntil([&] { return client.results_.size() >= kConnections - 4; }));
+  std::set<std::uint64_t> dropped;
+  for (const HttpResult& result : client.results_) {
+    cr_expect(result.outcome_ == ExchangeOutcome::kLost, "the request may have been executed");
+    dropped.insert(result.token_);
+  }
+  cr_assert_lt(dropped.size(), kConnections);
+  for (std::uint64_t token = 1; token <= kConnections; ++token) {
+    if (!dropped.contains(token)) {
+      peers[token - 1]->Send(std::string(400, 'x'));
+    }
+  }
+  cr_expect(client.RunUntil([&] { return client.results_.size() == kConnections; }));
+  cr_expect(client.results_.back().outcome_ == ExchangeOutcome::kAnswered);
+}
