--- a/packages/node/NodeInterface.cpp
+++ b/packages/node/NodeInterface.cpp
@@ -34,7 +34,8 @@
              FormatBackendRequest,
              ExpectNoEcho,
              IsRefusedByBackend,
-             MakeAnswer },
+             MakeAnswer,
+             ParseBackendLoad },
            std::nullopt,
            std::nullopt };
 }
--- a/packages/node/NodeInterface.h
+++ b/packages/node/NodeInterface.h
@@ -36,6 +36,8 @@
   std::function<bool(const Poco::Net::HTTPResponse& aHead)> isRefusedByBackend_;
   /** The answer to pass on; nullopt when it did not come from the backend server itself. */
   std::function<std::optional<Answer>(HttpResponseMessage aMessage)> makeAnswer_;
+  /** The load that the backend server reports with an answer; nullopt without a valid report. */
+  std::function<std::optional<BackendLoad>(const Poco::Net::HTTPResponse& aHead)> backendLoad_;
 };
 
 /** A heartbeat or a deregistration of the backend server. */
--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -155,10 +155,11 @@
                  CompletionKind aKind,
                  Instant aNow)
 {
+  const Duration elapsed = aNow - aRequest.startedAt_;
   if (aKind == CompletionKind::kSucceeded) {
-    RecordServiceTime(aState.fastTimes_, aRequest.kindKey_, aNow - aRequest.startedAt_, aNow);
+    RecordServiceTime(aState.fastTimes_, aRequest.kindKey_, elapsed, aNow);
   } else {
-    RecordCensoredServiceTime(aState.fastTimes_, aRequest.kindKey_, aNow - aRequest.startedAt_);
+    RecordCensoredServiceTime(aState.fastTimes_, aRequest.kindKey_, elapsed);
   }
   if (!aRequest.longRunning_) {
     const ServiceOutcome outcome = aKind == CompletionKind::kSucceeded ? ServiceOutcome::kCompleted
--- a/packages/policy/ConcurrencyLimit.cpp
+++ b/packages/policy/ConcurrencyLimit.cpp
@@ -40,6 +40,8 @@
  * reconsidered. */
 constexpr double kAcceptedSlowdownDecay = 0.986;
 
+constexpr Duration kReportedSlowdownLifetime = std::chrono::milliseconds(500);
+
 struct BlockJudgement
 {
   std::uint64_t number_ = 0;
@@ -49,16 +51,23 @@
   bool final_ = false;
 };
 
+double
+ReportedSlowdown(const ConcurrencyLimit& aLimit, Instant aNow)
+{
+  return aNow - aLimit.reportedAt_ <= kReportedSlowdownLifetime ? aLimit.reportedSlowdown_ : 1;
+}
+
 BlockJudgement
 JudgeBlock(const ConcurrencyLimit& aLimit, const StartBlock& aBlock, Instant aNow)
 {
+  const double expected = std::max(aLimit.acceptedSlowdown_, ReportedSlowdown(aLimit, aNow));
   std::vector<double> slowdowns;
   for (const BlockEntry& entry : aBlock.entries_) {
     const double typical = TypicalUs(aLimit.baselines_, entry.kindKey_);
     if (typical > 0 && entry.outcome_ != ServiceOutcome::kExcluded) {
       const Instant end = entry.outcome_ == ServiceOutcome::kRunning ? aNow : entry.endedAt_;
       slowdowns.push_back(static_cast<double>((end - entry.startedAt_).count()) /
-                          (typical * aLimit.acceptedSlowdown_));
+                          (typical * expected));
     }
   }
   BlockJudgement judgement{
@@ -289,6 +298,15 @@
   }
 }
 
+void
+RecordReportedSlowdown(ConcurrencyLimit& aLimit, double aSlowdown, Instant aNow)
+{
+  if (aSlowdown >= ReportedSlowdown(aLimit, aNow)) {
+    aLimit.reportedSlowdown_ = aSlowdown;
+    aLimit.reportedAt_ = aNow;
+  }
+}
+
 void
 UpdateLimit(ConcurrencyLimit& aLimit, bool aSaturated, Instant aNow)
 {
--- a/packages/policy/ConcurrencyLimit.h
+++ b/packages/policy/ConcurrencyLimit.h
@@ -49,6 +49,9 @@
   ServiceBaselines baselines_;
   /** Slowdown that a lower limit did not reduce; 1 when healthy. */
   double acceptedSlowdown_ = 1;
+  /** Highest slowdown that the backend server recently reported for its machine, and when. */
+  double reportedSlowdown_ = 1;
+  Instant reportedAt_;
   /** Median slowdown of the most recently judged block, relative to the accepted slowdown. */
   double lastSlowdown_ = 1;
   /** TypicalUs() of the most recently judged block. */
@@ -87,6 +90,12 @@
                  ServiceOutcome aOutcome,
                  Instant aNow);
 
+/** Records that the backend server reports its machine to be slower by this factor because of other
+ * users, see IsSlowedByNeighbours(). A slowdown up to this factor is not judged as slow for half a
+ * second, in which the requests that it affected end. */
+void
+RecordReportedSlowdown(ConcurrencyLimit& aLimit, double aSlowdown, Instant aNow);
+
 /** Judges the blocks and adjusts the limit; call it once per window. aSaturated is true when all
  * slots under the limit are taken. */
 void
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "model/BackendHeartbeat.h"
+#include "model/BackendLoad.h"
 #include "model/CallerRequest.h"
 #include "model/Config.h"
 #include "model/PeerMessage.h"
@@ -80,6 +81,8 @@
   Answer answer_;
   /** The backend server reports that it refused the request without executing it. */
   bool refused_ = false;
+  /** Reported with the answer; nullopt when there is no valid report. */
+  std::optional<BackendLoad> load_;
 
   bool operator==(const BackendAnswered&) const = default;
 };
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/InboundReplies.h"
 #include "policy/Lifecycle.h"
+#include "policy/NoisyNeighbour.h"
 #include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
 
@@ -297,6 +298,23 @@
   }
 }
 
+/** Uses the report of the backend server about its machine if it explains the time of the request.
+ */
+void
+UseLoadReport(NodeState& aState,
+              const ReduceContext& aContext,
+              const InboundRequest& aRequest,
+              const BackendLoad& aLoad)
+{
+  constexpr double kPercent = 100;
+  const Duration mean =
+    MeanServiceTimeOf(aState.admission_.fastTimes_, StableHash(aRequest.request_.kind_));
+  if (IsSlowedByNeighbours(aLoad, aContext.now_ - aRequest.startedAt_, mean)) {
+    RecordReportedSlowdown(
+      aState.admission_.limit_, aLoad.workTimePercent_ / kPercent, aContext.now_);
+  }
+}
+
 /** The queued or running request of the ticket, whose outcome the joined requests wait for. */
 std::optional<RequestId>
 FindPrimaryRequest(const NodeState& aState, const Ticket& aTicket)
@@ -427,6 +445,9 @@
   constexpr std::uint16_t kFirstServerErrorStatus = 500;
   const bool hasFailed = aEvent.refused_ || aEvent.answer_.status_ >= kFirstServerErrorStatus;
   RecordDependencyOutcomes(aState, found->second, hasFailed);
+  if (aEvent.load_ && !hasFailed) {
+    UseLoadReport(aState, aContext, found->second, *aEvent.load_);
+  }
   if (aEvent.refused_) {
     EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kRefusedByBackend);
   } else if (ticket) {
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -3,7 +3,9 @@
 #include "model/Address.h"
 #include "model/Number.h"
 
+#include <Poco/String.h>
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace fulmarway {
@@ -319,4 +321,39 @@
          aHead.get(header::kVerdict, "") == ToString(Verdict::kNotRun);
 }
 
+std::optional<BackendLoad>
+ParseLoadList(std::string_view aText)
+{
+  constexpr std::size_t kMinNumbers = 3;
+  constexpr std::size_t kMaxNumbers = 4;
+  constexpr std::uint64_t kMaxCount = 1'000'000;
+  constexpr std::uint64_t kMaxWorkTimePercent = 100'000;
+  std::array<std::uint64_t, kMaxNumbers> numbers = { 0, 0, 0, 100 };
+  std::size_t count = 0;
+  for (bool isLast = false; !isLast; ++count) {
+    const std::size_t comma = aText.find(',');
+    isLast = comma == std::string_view::npos;
+    const auto number = ParseNumber(Poco::trim(std::string(aText.substr(0, comma))));
+    if (count == kMaxNumbers || !number ||
+        *number > (count == kMinNumbers ? kMaxWorkTimePercent : kMaxCount)) {
+      return std::nullopt;
+    }
+    numbers.at(count) = *number;
+    aText.remove_prefix(isLast ? aText.size() : comma + 1);
+  }
+  if (count < kMinNumbers || numbers[2] == 0 || numbers[3] == 0) {
+    return std::nullopt;
+  }
+  return BackendLoad{ static_cast<std::uint32_t>(numbers[0]),
+                      static_cast<std::uint32_t>(numbers[1]),
+                      static_cast<std::uint32_t>(numbers[2]),
+                      static_cast<std::uint32_t>(numbers[3]) };
+}
+
+std::optional<BackendLoad>
+ParseBackendLoad(const Poco::Net::HTTPResponse& aHead)
+{
+  return aHead.has(header::kLoad) ? ParseLoadList(aHead.get(header::kLoad)) : std::nullopt;
+}
+
 } // namespace fulmarway
--- a/packages/wire/HttpMapping.h
+++ b/packages/wire/HttpMapping.h
@@ -4,11 +4,13 @@
  */
 #pragma once
 
+#include "model/BackendLoad.h"
 #include "model/CallerRequest.h"
 #include "model/Error.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -28,6 +30,8 @@
 inline constexpr const char* kReason = "Fulmarway-Reason";
 inline constexpr const char* kRetryAfter = "Retry-After";
 /** The delay of Retry-After in milliseconds; Retry-After itself is rounded up to seconds. */
+/** Of an answer of a backend server: "RUNNING,WAITING,SLOTS,WORK-TIME-PERCENT". */
+inline constexpr const char* kLoad = "Fulmarway-Load";
 inline constexpr const char* kRetryAfterMs = "Fulmarway-Retry-After-Ms";
 
 } // namespace header
@@ -69,4 +73,14 @@
 bool
 IsRefusedByBackend(const Poco::Net::HTTPResponse& aHead);
 
+/** Parses the numbers of running and waiting requests, of slots, and the work time in percent,
+ * separated by commas. The last one may be absent. nullopt for any other text, including numbers
+ * out of range, so that an odd report is dropped without an effect on the answer. */
+std::optional<BackendLoad>
+ParseLoadList(std::string_view aText);
+
+/** The load in the header kLoad. */
+std::optional<BackendLoad>
+ParseBackendLoad(const Poco::Net::HTTPResponse& aHead);
+
 } // namespace fulmarway
