--- a/packages/policy/Routing.cpp
+++ b/packages/policy/Routing.cpp
@@ -18,6 +18,9 @@
 constexpr double kDefaultLatencyUs = 10'000;
 /** Candidates drawn for a single attempt. */
 constexpr std::size_t kSingleAttemptDraws = 4;
+/** A single attempt leaves the local failure domain for a backend server that is this many times
+ * faster. */
+constexpr double kSingleAttemptSpillFactor = 1.3;
 /** Use of the slots up to which a request is expected to start without waiting. */
 constexpr double kFreeUse = 0.7;
 constexpr std::uint64_t kSamplesForHedge = 20;
@@ -265,27 +268,47 @@
   return static_cast<double>(load.running_ + load.queued_) / std::max(load.limit_, 1U);
 }
 
-/** The fastest of a few random candidates for a single attempt. A candidate without a report counts
- * as fast as the fastest one, so that it gets a first request. */
-NodeId
-FastestOfSome(const RoutingState& aState, Pool aPool, const RouteQuery& aQuery, Instant aNow)
+/** Lowest service time that a candidate of the pool reported; zero without a report. */
+Duration
+FastestReport(const RoutingState& aState, const Pool& aPool, std::uint64_t aKindKey)
 {
-  std::uint64_t seed = aQuery.entropy_;
   Duration fastest{ 0 };
   for (const ScoredCandidate& scored : aPool) {
-    const Duration time = ReportedServiceTime(aState, scored.candidate_->id_, aQuery.kindKey_);
+    const Duration time = ReportedServiceTime(aState, scored.candidate_->id_, aKindKey);
     if (time.count() > 0 && (fastest.count() == 0 || time < fastest)) {
       fastest = time;
     }
   }
+  return fastest;
+}
+
+/** The candidates of the local failure domain, unless others are much faster than all of them. */
+Pool
+LocalUnlessSlow(const RoutingState& aState, Pool aPool, std::uint64_t aKindKey)
+{
+  Pool local = Filter(
+    aPool, [](const ScoredCandidate& aScored) { return Distance(*aScored.candidate_) == 0; });
+  const Duration fastest = FastestReport(aState, aPool, aKindKey);
+  const Duration fastestLocal = FastestReport(aState, local, aKindKey);
+  const bool isSlow = static_cast<double>(fastestLocal.count()) >
+                      kSingleAttemptSpillFactor * static_cast<double>(fastest.count());
+  return local.empty() || isSlow ? std::move(aPool) : std::move(local);
+}
+
+/** The fastest of a few random candidates for a single attempt. A candidate without a report counts
+ * as fast as the fastest one, so that it gets a first request. */
+NodeId
+FastestOfSome(const RoutingState& aState, Pool aPool, const RouteQuery& aQuery, Instant aNow)
+{
+  std::uint64_t seed = aQuery.entropy_;
+  const Duration fastest = std::max(FastestReport(aState, aPool, aQuery.kindKey_), Duration{ 1 });
   NodeId best;
   double bestTime = std::numeric_limits<double>::infinity();
   for (std::size_t draw = 0; draw < kSingleAttemptDraws && !aPool.empty(); ++draw) {
     const std::size_t index = DrawIndex(aPool, aPool.size(), seed);
     const NodeId id = aPool[index].candidate_->id_;
     const Duration reported = ReportedServiceTime(aState, id, aQuery.kindKey_);
-    const auto time = static_cast<double>(
-      (reported.count() > 0 ? reported : std::max(fastest, Duration{ 1 })).count());
+    const auto time = static_cast<double>((reported.count() > 0 ? reported : fastest).count());
     // Waiting for a slot costs about a service time for each full use of the slots.
     const double use = ReportedUse(aState, id, aNow);
     const double expected = time * (1 + (use > kFreeUse ? use : 0));
@@ -357,6 +380,7 @@
     pool = Prefer(std::move(pool), [](const ScoredCandidate& aScored) {
       return Distance(*aScored.candidate_) <= 1;
     });
+    pool = LocalUnlessSlow(aState, std::move(pool), aQuery.kindKey_);
     return { RouteVerdict::kChosen, FastestOfSome(aState, std::move(pool), aQuery, aNow) };
   }
   return { RouteVerdict::kChosen, BetterOfTwo(NearestUseful(pool), seed) };
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -151,9 +151,10 @@
 };
 
 /** Chooses the better of two random candidates by outstanding attempts and latency; prefers those
- * in the local failure domain. For a single attempt, chooses the fastest of a few candidates of all
- * failure domains by the service time that they report for the kind: a request that takes several
- * times its usual time misses its deadline on a slow backend server, and no hedge can help it. */
+ * in the local failure domain. For a single attempt, chooses the fastest of a few candidates by the
+ * service time that they report for the kind, from other failure domains only if they are much
+ * faster: a request that takes several times its usual time misses its deadline on a slow backend
+ * server, and no hedge can help it. */
 RouteDecision
 ChooseTarget(const RoutingState& aState,
              std::span<const RouteCandidate> aCandidates,
--- a/packages/policy/tests/SingleAttemptPlacementTest.cpp
+++ b/packages/policy/tests/SingleAttemptPlacementTest.cpp
@@ -85,6 +85,17 @@
   cr_expect_not(chosen.contains(1));
 }
 
+/** Guards against traffic between failure domains that gains little. */
+Test(single_attempt_placement, a_little_faster_is_no_reason_to_leave_the_domain)
+{
+  Fleet fleet;
+  fleet.Report(1, 200ms, 5);
+  fleet.Report(2, 250ms, 5);
+  fleet.Report(3, 170ms, 5);
+  fleet.Report(4, 260ms, 5);
+  cr_expect_eq(fleet.Choose(true, 200)[1], 200);
+}
+
 /** Guards against a request that crosses regions for a faster backend server: the network time
  * would exceed the gain. */
 Test(single_attempt_placement, the_region_is_not_left)
