--- a/packages/model/BackendLoad.h
+++ b/packages/model/BackendLoad.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 namespace fulmarway {
