--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -20,6 +20,8 @@
  * what it gets at random, 99 of 100 requests are answered. */
 constexpr std::uint32_t kMaxReoffers = 6;
 
+constexpr std::uint16_t kMisdirectedStatus = 421;
+
 /** Exceeds every deadline that a caller can request. Decoders do not check ranges, and a corrupted
  * duration must not overflow the clock. */
 constexpr Duration kMaxRemainingTime = std::chrono::hours(1);
@@ -79,9 +81,9 @@
   SendToBackend(aState, aContext, aId, request.repeat_);
 }
 
-/** Offers a request again that the backend server refused although it has a free slot; whether the
- * request may be executed more than once matters, because a late copy of the refusal would look
- * like the answer to the second offer. Returns whether it did so. */
+/** Offers an idempotent request again that the backend server refused although it has a free slot.
+ * For others, a late copy of the refusal could be taken for the answer to the second offer. Returns
+ * whether it did so. */
 bool
 OfferAgain(NodeState& aState, ReduceContext& aContext, RequestId aId)
 {
@@ -187,7 +189,6 @@
   request.requester_ = aRequester;
   request.repeat_ = aCall.repeat_;
   request.idempotent_ = aCall.idempotent_;
-  request.repeat_ = aCall.repeat_;
   request.deadline_ =
     aContext.now_ + std::clamp(aCall.remaining_, Duration{ 0 }, kMaxRemainingTime);
   if (aPhase == InboundPhase::kJoined) {
@@ -438,7 +439,9 @@
     return;
   }
   aState.counters_.Add(CounterId::kBackendAnswers);
-  if (aEvent.refused_ && OfferAgain(aState, aContext, aEvent.request_)) {
+  // After "misdirected", another backend server has this address; it would refuse again.
+  if (aEvent.refused_ && aEvent.answer_.status_ != kMisdirectedStatus &&
+      OfferAgain(aState, aContext, aEvent.request_)) {
     return;
   }
   const auto ticket = found->second.request_.ticket_;
--- a/packages/policy/tests/BackendRetryBudgetTest.cpp
+++ b/packages/policy/tests/BackendRetryBudgetTest.cpp
@@ -175,6 +175,23 @@
   cr_expect_eq(simulation.nodes_[0].counters_.Value(CounterId::kBackendReoffers), 0U);
 }
 
+/** Guards against offers to another backend server that has taken over the address. */
+Test(backend_retry_budget, misdirected_requests_are_not_offered_again)
+{
+  RoutedSimulation simulation = MakeSimulation(1);
+  RefusingBackends backends(simulation);
+  for (int i = 0; i < 100; ++i) {
+    simulation.SendRequest(0, "/safe/1");
+    backends.AnswerOneIn(1);
+  }
+  simulation.SendRequest(0, "/safe/1");
+  Answer misdirected;
+  misdirected.status_ = 421;
+  const RequestId last = simulation.Effects<CallBackend>(0).back().request_.id_;
+  simulation.Inject(0, BackendAnswered{ last, misdirected, true });
+  cr_expect_eq(simulation.nodes_[0].counters_.Value(CounterId::kBackendReoffers), 0U);
+}
+
 /** Guards against calls of a repeated request that do not count as repeated arrivals at the service
  * that is called. */
 Test(backend_retry_budget, calls_of_a_repeated_request_count)
