Log where a configuration came from and how long the store was silent

Cause: the logs of a node that keeps an old configuration did not tell whether its read hung on a dead connection, failed, or returned nothing, nor whether a later version came from the store or from a peer. config_in_force names its source, store_lost and store_regained the time since the last reply to any call.

--- a/packages/policy/Control.cpp
+++ b/packages/policy/Control.cpp
@@ -19,9 +19,10 @@
 constexpr int kSnapshotsPerRetention = 4;
 constexpr int kMaxSnapshotRank = 5;
 
-/** Propagates a change of the configuration to the other modules. */
+/** Propagates a change of the configuration to the other modules. aSource names where it came from,
+ * for the log. */
 void
-ApplyConfiguration(NodeState& aState, ReduceContext& aContext)
+ApplyConfiguration(NodeState& aState, ReduceContext& aContext, const char* aSource)
 {
   const Configuration& config = ConfigOf(aState);
   aState.outbound_.candidatesStale_ = true;
@@ -47,18 +48,19 @@
                                            aContext.random_.Next(),
                                            aContext.now_)));
   aContext.effects_.push_back(
-    LogLine{ "config_in_force", { { "version", std::to_string(config.version_) } } });
+    LogLine{ "config_in_force",
+             { { "version", std::to_string(config.version_) }, { "source", aSource } } });
 }
 
 /** Applies aChange to the reader, then the configuration when its version has risen. */
 template<typename Change>
 auto
-ChangeReader(NodeState& aState, ReduceContext& aContext, Change aChange)
+ChangeReader(NodeState& aState, ReduceContext& aContext, const char* aSource, Change aChange)
 {
   const std::uint64_t before = ConfigOf(aState).version_;
   auto result = Apply(aState.log_, aChange(std::move(aState.log_)));
   if (ConfigOf(aState).version_ > before) {
-    ApplyConfiguration(aState, aContext);
+    ApplyConfiguration(aState, aContext, aSource);
   }
   return result;
 }
@@ -222,7 +224,7 @@
   if (HasSnapshot(aEvent.records_)) {
     control.lastSnapshotAt_ = aContext.now_;
   }
-  const ReadResult result = ChangeReader(aState, aContext, [&](LogReader aReader) {
+  const ReadResult result = ChangeReader(aState, aContext, "log", [&](LogReader aReader) {
     return ReadBatch(std::move(aReader), aEvent.earliest_, aEvent.records_);
   });
   for (const MemberRecord& member : result.announced_) {
@@ -312,7 +314,7 @@
   if (aConfiguration.version_ <= ConfigOf(aState).version_) {
     return;
   }
-  ChangeReader(aState, aContext, [&](LogReader aReader) {
+  ChangeReader(aState, aContext, "store", [&](LogReader aReader) {
     // Peers compare offsets, so without a log the version serves as the offset.
     aReader.state_.nextOffset_ = aConfiguration.version_;
     aReader.state_.config_ = std::move(aConfiguration);
@@ -333,7 +335,7 @@
 void
 HandleConfigReply(NodeState& aState, ReduceContext& aContext, const ConfigReply& aReply)
 {
-  ChangeReader(aState, aContext, [&](LogReader aReader) {
+  ChangeReader(aState, aContext, "peer", [&](LogReader aReader) {
     return ApplyConfigReply(std::move(aReader), aReply);
   });
   aState.control_.nextFetchAt_ = aContext.now_;
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -225,6 +225,8 @@
   Instant nextAnnounceAt_;
   bool reachable_ = true;
   std::uint32_t failuresInRow_ = 0;
+  /** Last successful reply to any call; nullopt before the first. */
+  std::optional<Instant> lastReplyAt_;
 
   bool operator==(const StoreState&) const = default;
 };
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -52,6 +52,10 @@
 {
   StoreState& store = aState.store_;
   store.failuresInRow_ = aReachable ? 0 : store.failuresInRow_ + 1;
+  const Duration silence = aContext.now_ - store.lastReplyAt_.value_or(aContext.now_);
+  if (aReachable) {
+    store.lastReplyAt_ = aContext.now_;
+  }
   if (store.reachable_ == aReachable) {
     return;
   }
@@ -63,7 +67,9 @@
   }
   aContext.effects_.push_back(
     LogLine{ aReachable ? "store_regained" : "store_lost",
-             { { "task", std::string(ToString(aTask)) }, { "detail", aDetail } } });
+             { { "task", std::string(ToString(aTask)) },
+               { "detail", aDetail },
+               { "since_reply_us", std::to_string(silence.count()) } } });
 }
 
 struct ReplyHandler
