Space the reads of configuration changes within a failure domain

What callers saw: requests handled by version 4 although version 6 had been acknowledged more than 2 s before, on every node (CONFIG).

Cause: a read of changes waits 10 s at the store. Each change ends the reads of all nodes at once, so all nodes start the next one in the same moment. When all connections go silent, without a reset, all reads hang until they time out together, up to 11 s later, and no peer has anything to give away. The comment at the constant relied on peers whose reads were alive.

Change: the live nodes of a failure domain wait 1 s for each of them, 10 s at most, and the first reads after a change end one after the other. So one read of each domain ends every second, on a new connection if the old one is dead, and gossip carries the version to the others. Failure domains with ten nodes or more read as often as before.

Not taken: shorter waits of all nodes cost calls in proportion to the fleet; TCP keep-alive probes do not detect a read whose answer the store lost.

--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-/** How long one read waits for a change. A dead connection to the store is detected only after this
- * time; until then the node gets changes from its peers. */
-constexpr Duration kChangeWaitTimeout = std::chrono::seconds(10);
+/** Interval between the ends of the reads of changes of one failure domain. When all connections to
+ * the store go dead at once, the first node whose read ends gives the changes to its peers. */
+constexpr Duration kDomainReadSpacing = std::chrono::seconds(1);
+/** Longest wait of one read for a change. */
+constexpr Duration kMaxChangeWait = std::chrono::seconds(10);
 /** Base of the delay after a failed call; it doubles with each consecutive failure. */
 constexpr Duration kBaseRetryDelay = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMaxRetryDoublings = 2;
@@ -43,6 +45,37 @@
   });
 }
 
+/** Position of this node among the live nodes of its failure domain, ordered by id. */
+struct DomainPosition
+{
+  int rank_ = 0;
+  int nodes_ = 1;
+};
+
+DomainPosition
+PositionInDomain(const NodeState& aState)
+{
+  const NodeIdentity& self = aState.settings_.identity_;
+  DomainPosition position;
+  for (const MemberRecord& member : Members(aState.membership_)) {
+    if (member.state_ <= MemberState::kDraining && member.identity_.domain_ == self.domain_) {
+      position.nodes_ += 1;
+      position.rank_ += member.identity_.id_ < self.id_ ? 1 : 0;
+    }
+  }
+  return position;
+}
+
+/** How long the next read waits for a change. A change ends the reads of all nodes at once; the
+ * waits of the reads after it differ, so that from then on one ends every kDomainReadSpacing. */
+Duration
+ChangeWait(const NodeState& aState)
+{
+  const DomainPosition position = PositionInDomain(aState);
+  const Duration period = std::min(kDomainReadSpacing * position.nodes_, kMaxChangeWait);
+  return aState.store_.isReadSpaced_ ? period : period * (position.rank_ + 1) / position.nodes_;
+}
+
 void
 SetStoreReachable(NodeState& aState,
                   ReduceContext& aContext,
@@ -84,6 +117,7 @@
     SetStoreReachable(state_, context_, task_, true, "");
     store.readingConfiguration_ = false;
     store.nextChange_ = aReply.next_;
+    store.isReadSpaced_ = !aReply.configuration_.has_value();
     store.nextConfigurationReadAt_ = context_.now_;
     if (aReply.undecodable_ > 0) {
       context_.effects_.push_back(LogLine{ "store_records_unreadable",
@@ -133,6 +167,7 @@
     switch (task_) {
       case StoreTask::kConfiguration:
         store.readingConfiguration_ = false;
+        store.isReadSpaced_ = false;
         store.nextConfigurationReadAt_ = next;
         break;
       case StoreTask::kListing:
@@ -183,7 +218,7 @@
   if (!store.readingConfiguration_ && aContext.now_ >= store.nextConfigurationReadAt_) {
     store.readingConfiguration_ = true;
     if (store.nextChange_) {
-      StartStoreCall(aContext, AwaitConfiguration{ *store.nextChange_, kChangeWaitTimeout });
+      StartStoreCall(aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState) });
     } else {
       StartStoreCall(aContext, ReadConfiguration{});
     }
