--- a/packages/policy/Control.cpp
+++ b/packages/policy/Control.cpp
@@ -47,9 +47,8 @@
                                            epoch,
                                            aContext.random_.Next(),
                                            aContext.now_)));
-  aContext.effects_.push_back(
-    LogLine{ "config_in_force",
-             { { "version", std::to_string(config.version_) }, { "source", aSource } } });
+  aContext.effects_.push_back(LogLine{
+    "config_in_force", { { "version", std::to_string(config.version_) }, { "source", aSource } } });
 }
 
 /** Applies aChange to the reader, then the configuration when its version has risen. */
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -98,11 +98,10 @@
     store.nextListAt_ = aContext.now_;
     store.nextAnnounceAt_ = std::min(store.nextAnnounceAt_, aContext.now_);
   }
-  aContext.effects_.push_back(
-    LogLine{ aReachable ? "store_regained" : "store_lost",
-             { { "task", std::string(ToString(aTask)) },
-               { "detail", aDetail },
-               { "since_reply_us", std::to_string(silence.count()) } } });
+  aContext.effects_.push_back(LogLine{ aReachable ? "store_regained" : "store_lost",
+                                       { { "task", std::string(ToString(aTask)) },
+                                         { "detail", aDetail },
+                                         { "since_reply_us", std::to_string(silence.count()) } } });
 }
 
 struct ReplyHandler
