Do not take an answer without an id for that of the next request

Cause: an answer is dropped when it names another request, but one that names none was taken for the answer to the current request. A second copy of a refusal without an id, such as one to a request that could not be parsed, was proof of "not run" for the request after it.

Change: on a connection that has answered before, an answer without the expected id ends the connection, and the request as lost ("may have run"). The first answer on a connection is taken as before.

http_client::repeated_refusal_without_an_id_is_not_the_next_answer failed before. Also shown: an answer cut anywhere in its head is lost, never a complete one (http_client::answer_cut_in_its_head_is_lost, green before too).

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -15,6 +15,15 @@
   return aEcho && aHead.has(aEcho->name_) && aHead.get(aEcho->name_) != aEcho->value_;
 }
 
+/** Whether the answer may be a second copy of an earlier one on the connection. */
+bool
+MayBeRepeated(const std::optional<ExpectedEcho>& aEcho,
+              const Poco::Net::HTTPResponse& aHead,
+              bool aHasAnsweredBefore)
+{
+  return aEcho && aHasAnsweredBefore && !aHead.has(aEcho->name_);
+}
+
 } // namespace
 
 HttpClient::HttpClient(const HttpClientSettings& aSettings, Poller& aPoller)
@@ -27,7 +36,7 @@
 HttpClient::Connect()
 {
   const std::uint64_t id = nextId_++;
-  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, false, {}, {} };
+  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, false, false, {}, {} };
   poller_.Add({ settings_.role_, id }, connection.channel_.Socket());
   connections_.emplace(id, std::move(connection));
   return id;
@@ -190,6 +199,12 @@
   if (!*parsed) {
     return;
   }
+  if (MayBeRepeated(connection.echo_, (*parsed)->head_, connection.hasAnswered_)) {
+    spdlog::warn("event=answer_unattributed status={}",
+                 static_cast<int>((*parsed)->head_.getStatus()));
+    Fail(aId);
+    return;
+  }
   const bool keepsAlive = (*parsed)->head_.getKeepAlive() && connection.input_.empty() &&
                           connection.channel_.PendingBytes() == 0 &&
                           !connection.receivedStaleAnswer_;
@@ -207,7 +222,8 @@
 {
   Connection& connection = connections_.at(aId);
   auto parsed = ParseCloseDelimitedResponse(connection.input_, settings_.maxBodyBytes_);
-  if (!parsed || IsStaleAnswer(connection.echo_, parsed->head_)) {
+  if (!parsed || IsStaleAnswer(connection.echo_, parsed->head_) ||
+      MayBeRepeated(connection.echo_, parsed->head_, connection.hasAnswered_)) {
     Fail(aId);
     return;
   }
@@ -221,6 +237,7 @@
   results_.push_back({ *aConnection.token_, ExchangeOutcome::kAnswered, std::move(aMessage) });
   byToken_.erase(*aConnection.token_);
   aConnection.token_.reset();
+  aConnection.hasAnswered_ = true;
 }
 
 void
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -97,6 +97,8 @@
     /** A late answer to an earlier request has arrived; the connection is closed after the current
      * request. */
     bool receivedStaleAnswer_ = false;
+    /** An earlier request on the connection was answered. */
+    bool hasAnswered_ = false;
     Instant deadline_;
     Instant idleSince_;
     ResponseProgress progress_ = {};
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -218,6 +218,47 @@
   }
 }
 
+/** Guards against a refusal that a faulty server writes once more and that is taken for the answer
+ * to the next request on the connection, which may be running. */
+Test(http_client, repeated_refusal_without_an_id_is_not_the_next_answer)
+{
+  const std::string refusal =
+    "HTTP/1.1 503 Busy\r\nNot-Processed: 1\r\nContent-Length: 2\r\n\r\nab";
+  const std::string named = "HTTP/1.1 503 Busy\r\nId: one\r\nContent-Length: 2\r\n\r\nab";
+  for (const bool isNamed : { true, false }) {
+    Client client;
+    client.Send(1, ExpectedEcho{ "Id", "one" });
+    const auto server = client.AcceptRequest(1);
+    server->Send(isNamed ? named : refusal);
+    cr_assert(client.RunUntilResult());
+    cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kAnswered, "the first of its kind");
+    client.Send(2, ExpectedEcho{ "Id", "two" });
+    cr_assert(client.RunUntil([&] { return server->Has("GET /2 "); }));
+    server->Send(isNamed ? named : refusal);
+    server->Close();
+    cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+    cr_expect(client.results_[1].outcome_ == ExchangeOutcome::kLost);
+  }
+}
+
+/** Guards against a head that the server cut off and that counts as a complete, empty answer. */
+Test(http_client, answer_cut_in_its_head_is_lost)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 12\r\n\r\n";
+  const std::string unframed = "HTTP/1.1 200 OK\r\nId: one\r\nSignature: s\r\n\r\n";
+  for (const std::string& answer : { head, unframed }) {
+    for (std::size_t sent = 0; sent < answer.size(); ++sent) {
+      Client client;
+      client.Send(1, ExpectedEcho{ "Id", "one" });
+      const auto server = client.AcceptRequest(1);
+      server->Send(answer.substr(0, sent));
+      server->Close();
+      cr_assert(client.RunUntilResult());
+      cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kLost, "%zu bytes", sent);
+    }
+  }
+}
+
 /** Nothing was sent, so the request may be sent elsewhere. */
 Test(http_client, refused_connection_is_not_sent)
 {
