Close idle connections after a call that got no answer in time

http_client::idle_connections_are_closed_after_an_unanswered_call failed before: the next request was sent on the idle connection.

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -272,6 +272,10 @@
   for (const std::uint64_t id : idle) {
     Close(id);
   }
+  if (!expired.empty()) {
+    // What made the server or its connections silent may have reached the idle ones too.
+    CloseIdle();
+  }
 }
 
 std::vector<HttpResult>
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -259,6 +259,25 @@
   }
 }
 
+/** Guards against a request on another dead connection: after a call that got no answer in time,
+ * idle connections to the server may be dead as well. */
+Test(http_client, idle_connections_are_closed_after_an_unanswered_call)
+{
+  Client client;
+  client.Send(1);
+  client.Send(2);
+  const auto silent = client.AcceptRequest(1);
+  const auto idle = client.AcceptRequest(2);
+  client.now_ += 9s;
+  idle->Send(kCompleteAnswer);
+  cr_assert(client.RunUntilResult());
+  client.now_ += 1s;
+  client.client_.Advance(client.now_);
+  cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+  client.Send(3);
+  client.AcceptRequest(3);
+}
+
 /** Nothing was sent, so the request may be sent elsewhere. */
 Test(http_client, refused_connection_is_not_sent)
 {
