End requests that are taken during a planned stop before the process exits

Report of other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut without an answer at its end.

Cause: a request that arrives in the 2.5 s in which a stopping node still takes connections was passed on with the whole time of its caller. Beyond the stop timeout the process exits with the request in progress: the backend server works on, and the caller sees a closed connection.

Change: the deadline of a request that arrives during a stop, from a caller or another node, is at most the end of the stop. The backend server hears it as its own deadline, and the caller gets its answer or an outcome.

--- a/packages/policy/CallerRequests.cpp
+++ b/packages/policy/CallerRequests.cpp
@@ -1,6 +1,7 @@
 #include "policy/CallerRequests.h"
 
 #include "policy/Inbound.h"
+#include "policy/Lifecycle.h"
 #include "policy/OutboundCalls.h"
 #include "policy/RouteCandidates.h"
 
@@ -142,7 +143,7 @@
   // An earlier attempt under the ticket may have reached the executor through another entry node.
   call.mayHaveRun_ = origin.ticket_ && origin.attempt_ > 1;
   call.startedAt_ = aContext.now_;
-  call.deadline_ = DeadlineOf(aState, aContext, origin);
+  call.deadline_ = DeadlineBeforeExit(aState, DeadlineOf(aState, aContext, origin));
   call.ownsPool_ = !origin.parent_;
   call.pool_ = TokenPoolId{ call.ownsPool_ ? aId.value_ : origin.parent_->value_ };
   if (call.ownsPool_) {
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -189,8 +189,8 @@
   request.requester_ = aRequester;
   request.repeat_ = aCall.repeat_;
   request.idempotent_ = aCall.idempotent_;
-  request.deadline_ =
-    aContext.now_ + std::clamp(aCall.remaining_, Duration{ 0 }, kMaxRemainingTime);
+  request.deadline_ = DeadlineBeforeExit(
+    aState, aContext.now_ + std::clamp(aCall.remaining_, Duration{ 0 }, kMaxRemainingTime));
   if (aPhase == InboundPhase::kJoined) {
     request.joinedRetryTokens_ = aCall.reservedTokens_;
   } else {
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -304,6 +304,15 @@
   AdvanceStop(aState, aContext);
 }
 
+Instant
+DeadlineBeforeExit(const NodeState& aState, Instant aDeadline)
+{
+  const LifecycleState& lifecycle = aState.lifecycle_;
+  return lifecycle.stopRequested_
+           ? std::min(aDeadline, lifecycle.stopRequestedAt_ + aState.settings_.stopTimeout_)
+           : aDeadline;
+}
+
 void
 HandleHandover(NodeState& aState, ReduceContext& aContext, LinkId aLink, const Handover& aPart)
 {
--- a/packages/policy/Lifecycle.h
+++ b/packages/policy/Lifecycle.h
@@ -29,6 +29,11 @@
 void
 HandleStopRequested(NodeState& aState, ReduceContext& aContext);
 
+/** The deadline of a request that arrives now: aDeadline, but during a planned stop no later than
+ * its end. A backend server that works beyond that would be cut off without an answer. */
+Instant
+DeadlineBeforeExit(const NodeState& aState, Instant aDeadline);
+
 void
 HandleHandover(NodeState& aState, ReduceContext& aContext, LinkId aLink, const Handover& aPart);
 
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -1,5 +1,6 @@
 #include "policy/RoutedCalls.h"
 
+#include "policy/Lifecycle.h"
 #include "policy/OutboundCalls.h"
 #include "policy/RouteTable.h"
 
@@ -90,8 +91,10 @@
   call.exchange_ = aEvent.exchange_;
   call.origin_ = origin;
   call.startedAt_ = aContext.now_;
-  call.deadline_ = aContext.now_ + std::min(origin.deadline_.value_or(aRoute.kind_.deadline_),
-                                            aRoute.kind_.deadline_);
+  call.deadline_ =
+    DeadlineBeforeExit(aState,
+                       aContext.now_ + std::min(origin.deadline_.value_or(aRoute.kind_.deadline_),
+                                                aRoute.kind_.deadline_));
   const Instant callerDeadline = aContext.now_ + origin.deadline_.value_or(aRoute.kind_.deadline_);
   call.outcomeGrace_ = std::clamp(callerDeadline - call.deadline_, Duration{ 0 }, kOutcomeGrace);
   if (origin.fromBackend_) {
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -146,6 +146,34 @@
   cr_expect_not(simulation.Effects<ExitProcess>(0).empty());
 }
 
+/** Guards against a request that is taken late in a planned stop, passed on, and cut off without an
+ * answer when the process exits. */
+Test(routed_calls, request_taken_during_a_stop_ends_before_the_exit)
+{
+  for (const bool isSafe : { true, false }) {
+    RoutedSimulation simulation(2);
+    Configuration configuration = MakeRoutedConfiguration(2);
+    for (RouteSpec& route : configuration.routes_) {
+      route.kind_.deadline_ = std::chrono::seconds(10);
+    }
+    simulation.Configure(0, configuration);
+    simulation.Inject(0, StopRequested{});
+    constexpr Duration kLate = std::chrono::milliseconds(2400);
+    simulation.Run(kLate);
+    const ExchangeId exchange = simulation.SendRequest(0, isSafe ? "/safe/1" : "/unsafe/1");
+    const auto [node, request] = OnlyRequest(simulation);
+    cr_expect_eq(node, 1U);
+    cr_expect(request.remaining_ <= simulation.nodes_[0].settings_.stopTimeout_ - kLate,
+              "the backend server would work on after the exit");
+    while (simulation.Effects<ExitProcess>(0).empty()) {
+      simulation.Run(kTickInterval);
+    }
+    const auto reply = simulation.ReplyTo(0, exchange);
+    cr_assert(reply.has_value(), "the connection would be closed without an answer");
+    cr_expect(reply->outcome_.verdict_ == Verdict::kMayHaveRun);
+  }
+}
+
 /** Guards against cancelling a call together with a request that is not its parent but has an equal
  * deadline. */
 Test(routed_calls, call_outlives_the_request_that_seems_to_be_its_parent)
