Keep the rate of requests that a backend server names in its answers

What callers would see: a backend server in need got 409 requests in 4 s where it had asked for 38.6 a second (237 allowed), and fails or slows down for all.

Cause: the limit in the answers was not read. Service times do not rise under it, so the concurrency limit does not fall. Ruled out: a limit that is forgotten at a restart (the first report comes before it), and nodes that each keep the whole limit (all requests pass the node beside the backend server).

Change: that node starts requests, with offers after a refusal, by a token bucket at the named rate. The rest waits by importance for half a second at most and is refused as not run. The limit ends when answers no longer name it.

--- a/packages/model/Number.h
+++ b/packages/model/Number.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -25,4 +26,18 @@
   return value;
 }
 
+/** Parses a non-negative decimal number such as "12" or "0.5"; nullopt for any other text. */
+inline std::optional<double>
+ParseDecimal(std::string_view aText)
+{
+  double value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedTo, error] =
+    std::from_chars(aText.data(), end, value, std::chars_format::fixed);
+  if (error != std::errc{} || parsedTo != end || !std::isfinite(value) || std::signbit(value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 } // namespace fulmarway
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -1,5 +1,6 @@
 #include "node/Metrics.h"
 
+#include <cmath>
 #include <prometheus/client_metric.h>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
@@ -134,6 +135,9 @@
   };
   add("config_version", "Configuration version in force", ConfigOf(aState).version_);
   add("concurrency_limit", "Requests that may run at once", LimitOf(aState.admission_));
+  add("backend_rate_limit",
+      "Requests per second that the backend server asks for, rounded up; 0 for no limit",
+      static_cast<std::uint64_t>(std::ceil(aState.admission_.startRate_.perSecond_.value_or(0))));
   add("running_requests", "Requests on the backend server", RunningCount(aState.admission_));
   add("queued_requests", "Requests that wait for a slot", QueuedCount(aState.admission_));
   add("admission_level",
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -410,9 +410,10 @@
     }
     const bool isRefused = interface_.calls_.isRefusedByBackend_(result.response_->head_);
     const auto load = interface_.calls_.backendLoad_(result.response_->head_);
+    const BackendSignals signals = interface_.calls_.backendSignals_(result.response_->head_);
     auto answer = interface_.calls_.makeAnswer_(std::move(*result.response_));
     if (answer) {
-      queue_.push_back(BackendAnswered{ id, std::move(*answer), isRefused, load });
+      queue_.push_back(BackendAnswered{ id, std::move(*answer), isRefused, load, signals });
     } else {
       queue_.push_back(BackendFailed{ id, true });
     }
--- a/packages/node/NodeInterface.cpp
+++ b/packages/node/NodeInterface.cpp
@@ -35,7 +35,8 @@
              ExpectNoEcho,
              IsRefusedByBackend,
              MakeAnswer,
-             ParseBackendLoad },
+             ParseBackendLoad,
+             ParseBackendSignals },
            std::nullopt,
            std::nullopt };
 }
--- a/packages/node/NodeInterface.h
+++ b/packages/node/NodeInterface.h
@@ -38,6 +38,7 @@
   std::function<std::optional<Answer>(HttpResponseMessage aMessage)> makeAnswer_;
   /** The load that the backend server reports with an answer; nullopt without a valid report. */
   std::function<std::optional<BackendLoad>(const Poco::Net::HTTPResponse& aHead)> backendLoad_;
+  std::function<BackendSignals(const Poco::Net::HTTPResponse& aHead)> backendSignals_;
 };
 
 /** A heartbeat or a deregistration of the backend server. */
--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -3,6 +3,7 @@
 #include "model/Error.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fulmarway {
@@ -18,11 +19,19 @@
   return std::max<std::uint32_t>(aWhole * std::min<std::uint32_t>(aPercent, 100) / 100, 1);
 }
 
+/** Under a limit on requests per second, longer queues would only use up the deadlines. */
+constexpr double kMaxQueueSecondsAtLimit = 0.5;
+
 QueueBounds
-BoundsOf(const AdmissionSettings& aSettings)
+BoundsOf(const AdmissionState& aState)
 {
-  const std::uint32_t slots = std::max<std::uint32_t>(aSettings.slots_, 1);
-  return { std::max(slots, kMinQueueLength), ShareOf(slots, aSettings.longSharePercent_) };
+  const std::uint32_t slots = std::max<std::uint32_t>(aState.settings_.slots_, 1);
+  const std::uint32_t wanted =
+    aState.startRate_.perSecond_
+      ? static_cast<std::uint32_t>(std::min<double>(
+          slots, std::ceil(*aState.startRate_.perSecond_ * kMaxQueueSecondsAtLimit)))
+      : slots;
+  return { std::max(wanted, kMinQueueLength), ShareOf(slots, aState.settings_.longSharePercent_) };
 }
 
 std::uint32_t
@@ -55,20 +64,21 @@
   return aNow + needed > aArrival.deadline_;
 }
 
-/** The local admission level is enforced only under pressure: while slots are free or the queue is
- * short, refusing requests would reduce throughput. */
+/** The local admission level is enforced only under pressure: while requests can start or the queue
+ * is short, refusing requests would reduce throughput. */
 bool
-IsUnderPressure(const AdmissionState& aState)
+IsUnderPressure(const AdmissionState& aState, Instant aNow)
 {
-  return !HasFreeSlot(aState) &&
+  return !MayStart(aState, aNow) &&
          QueuedCount(aState) >=
            std::max<std::uint32_t>(
-             static_cast<std::uint32_t>(BoundsOf(aState.settings_).total_) / kPressureDivisor, 1);
+             static_cast<std::uint32_t>(BoundsOf(aState).total_) / kPressureDivisor, 1);
 }
 
 void
 Start(AdmissionState& aState, AdmissionDecision& aDecision, const Arrival& aArrival, Instant aNow)
 {
+  TakeStart(aState.startRate_, aNow);
   RunningRequest& running = aState.running_[aArrival.id_];
   running = { aArrival.kindKey_, aNow, aArrival.longRunning_, std::nullopt };
   if (aArrival.longRunning_) {
@@ -92,9 +102,9 @@
                Instant aNow)
 {
   const bool refuse =
-    IsUnderPressure(aState) &&
+    IsUnderPressure(aState, aNow) &&
     !IsAdmitted(LevelOf(aState), aArrival.importance_, aArrival.rootRequestBucket_);
-  QueueBounds bounds = BoundsOf(aState.settings_);
+  QueueBounds bounds = BoundsOf(aState);
   const bool full = QueuedCount(aState) >= bounds.total_;
   if (refuse) {
     bounds.total_ = std::min<std::size_t>(bounds.total_, QueuedCount(aState));
@@ -119,12 +129,12 @@
   });
 }
 
-/** Starts queued requests while slots are free. If a slot is still free afterwards, only
+/** Starts queued requests while they may start. If one still may start afterwards, only
  * long-running requests beyond their share are queued. */
 void
 FillSlots(AdmissionState& aState, AdmissionDecision& aDecision, Instant aNow)
 {
-  while (HasFreeSlot(aState)) {
+  while (MayStart(aState, aNow)) {
     const auto next = PopFirst(aState.queue_, MayStartLong(aState));
     if (!next) {
       return;
@@ -137,6 +147,21 @@
   }
 }
 
+/** Number of slots that the start rate can keep busy (Little's law), if that is fewer than the
+ * concurrency limit allows. */
+std::uint32_t
+UsableSlots(const AdmissionState& aState)
+{
+  const std::uint32_t limit = LimitOf(aState);
+  if (!aState.startRate_.perSecond_) {
+    return limit;
+  }
+  const double busy = *aState.startRate_.perSecond_ *
+                      std::chrono::duration<double>(TypicalServiceTime(aState.limit_)).count();
+  return std::clamp(
+    static_cast<std::uint32_t>(std::min<double>(std::ceil(busy), limit)), 1U, limit);
+}
+
 /** Number of queued requests without the long-running ones, which wait for their share and not for
  * a free slot. */
 std::size_t
@@ -187,7 +212,7 @@
   SetCap(aState.limit_, CapOf(aSettings));
   AdmissionDecision decision;
   FillSlots(aState, decision, aNow);
-  for (const RequestId id : TrimToBound(aState.queue_, BoundsOf(aState.settings_))) {
+  for (const RequestId id : TrimToBound(aState.queue_, BoundsOf(aState))) {
     decision.shed_.push_back({ id, Reason::kShedByQueue });
   }
   return { std::move(aState), std::move(decision) };
@@ -205,9 +230,11 @@
                   WaitingForSlot(aState));
   }
   AdmissionDecision decision;
+  // The limit on requests per second may allow starts again since the last event.
+  FillSlots(aState, decision, aNow);
   if (IsTooLate(aState, aArrival, aNow)) {
     decision.shed_.push_back({ aArrival.id_, Reason::kDeadline });
-  } else if (HasFreeSlot(aState) && (!aArrival.longRunning_ || MayStartLong(aState))) {
+  } else if (MayStart(aState, aNow) && (!aArrival.longRunning_ || MayStartLong(aState))) {
     Start(aState, decision, aArrival, aNow);
   } else {
     EnqueueArrival(aState, decision, aArrival, aNow);
@@ -244,11 +271,24 @@
   ShedLate(aState, decision, aNow);
   UpdateLimit(aState.limit_, !HasFreeSlot(aState), aNow);
   UpdateLevel(
-    aState.level_, WaitingForSlot(aState), TypicalServiceTime(aState.limit_), LimitOf(aState));
+    aState.level_, WaitingForSlot(aState), TypicalServiceTime(aState.limit_), UsableSlots(aState));
   FillSlots(aState, decision, aNow);
   return { std::move(aState), std::move(decision) };
 }
 
+Step<AdmissionState, bool>
+SetNamedLimit(AdmissionState aState, std::optional<double> aPerSecond, Instant aNow)
+{
+  const bool hasChanged = RecordNamedLimit(aState.startRate_, aPerSecond, aNow);
+  return { std::move(aState), hasChanged };
+}
+
+bool
+MayStart(const AdmissionState& aState, Instant aNow)
+{
+  return HasFreeSlot(aState) && MayStartNow(aState.startRate_, aNow);
+}
+
 AdmissionLevel
 LevelOf(const AdmissionState& aState)
 {
--- a/packages/policy/Admission.h
+++ b/packages/policy/Admission.h
@@ -14,6 +14,7 @@
 #include "policy/AdmissionQueue.h"
 #include "policy/ConcurrencyLimit.h"
 #include "policy/FastServiceTimes.h"
+#include "policy/StartRate.h"
 
 #include <cstdint>
 #include <map>
@@ -93,6 +94,7 @@
   ConcurrencyLimit limit_;
   AdmissionLevelControl level_;
   FastServiceTimes fastTimes_;
+  StartRate startRate_;
 
   bool operator==(const AdmissionState&) const = default;
 };
@@ -125,6 +127,15 @@
 
 inline constexpr Duration kAdmissionWindow = std::chrono::milliseconds(100);
 
+/** Applies the limit on requests per second that an answer contained, or its absence. Returns
+ * whether the limit changed; queued requests start with the next event. */
+Step<AdmissionState, bool>
+SetNamedLimit(AdmissionState aState, std::optional<double> aPerSecond, Instant aNow);
+
+/** Whether a slot is free and the limit on requests per second allows a start. */
+bool
+MayStart(const AdmissionState& aState, Instant aNow);
+
 /** Admission level that entry nodes should apply. */
 AdmissionLevel
 LevelOf(const AdmissionState& aState);
--- a/packages/policy/BackendHeartbeats.cpp
+++ b/packages/policy/BackendHeartbeats.cpp
@@ -15,7 +15,8 @@
     (aHeartbeat.startedAtMs_ == 0 && aCurrent->heartbeat_.startedAtMs_ == 0 &&
      aHeartbeat.instance_ != aCurrent->heartbeat_.instance_);
   if (isNewIncarnation) {
-    return { BackendInstance{ aHeartbeat, aNow, false, 0 }, HeartbeatVerdict::kNewIncarnation };
+    return { BackendInstance{ aHeartbeat, aNow, aNow, false, 0 },
+             HeartbeatVerdict::kNewIncarnation };
   }
   const BackendHeartbeat& last = aCurrent->heartbeat_;
   const bool isSameIncarnation =
--- a/packages/policy/BackendHeartbeats.h
+++ b/packages/policy/BackendHeartbeats.h
@@ -17,6 +17,7 @@
 struct BackendInstance
 {
   BackendHeartbeat heartbeat_;
+  Instant firstHeartbeatAt_;
   Instant lastHeartbeatAt_;
   /** It has left for good, and no later incarnation has sent a heartbeat. */
   bool hasLeft_ = false;
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -5,6 +5,7 @@
 
 #include "model/BackendHeartbeat.h"
 #include "model/BackendLoad.h"
+#include "model/BackendSignals.h"
 #include "model/CallerRequest.h"
 #include "model/Config.h"
 #include "model/PeerMessage.h"
@@ -83,6 +84,7 @@
   bool refused_ = false;
   /** Reported with the answer; nullopt when there is no valid report. */
   std::optional<BackendLoad> load_;
+  BackendSignals signals_;
 
   bool operator==(const BackendAnswered&) const = default;
 };
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -88,11 +88,10 @@
 OfferAgain(NodeState& aState, ReduceContext& aContext, RequestId aId)
 {
   InboundRequest& request = aState.inbound_.requests_.at(aId);
-  const bool isPossible = request.idempotent_ && request.request_.routed_ &&
-                          request.phase_ == InboundPhase::kRunning &&
-                          request.reoffers_ < kMaxReoffers && aContext.now_ < request.deadline_ &&
-                          RunningCount(aState.admission_) < LimitOf(aState.admission_) &&
-                          AcceptsNewWork(aState, aContext.now_);
+  const bool isPossible =
+    request.idempotent_ && request.request_.routed_ && request.phase_ == InboundPhase::kRunning &&
+    request.reoffers_ < kMaxReoffers && aContext.now_ < request.deadline_ &&
+    MayStart(aState.admission_, aContext.now_) && AcceptsNewWork(aState, aContext.now_);
   if (!isPossible || !AllowsBackendRetry(aState.inbound_.retries_,
                                          request.request_.importance_,
                                          RootRequestBucket(request.request_.rootRequestId_),
@@ -100,6 +99,7 @@
                                          aContext.now_)) {
     return false;
   }
+  TakeStart(aState.admission_.startRate_, aContext.now_);
   request.reoffers_ += 1;
   aState.counters_.Add(CounterId::kBackendReoffers);
   SendToBackend(aState, aContext, aId, true);
@@ -316,6 +316,27 @@
   }
 }
 
+/** Applies what the backend server asks for in an answer. Answers to requests that started before
+ * its current incarnation are from an earlier one. */
+void
+UseSignals(NodeState& aState,
+           ReduceContext& aContext,
+           const InboundRequest& aRequest,
+           const BackendSignals& aSignals)
+{
+  if (aState.backend_ && aRequest.startedAt_ < aState.backend_->firstHeartbeatAt_) {
+    return;
+  }
+  const auto limit = aSignals.maxRequestsPerSecond_;
+  if (Apply(aState.admission_, SetNamedLimit(std::move(aState.admission_), limit, aContext.now_))) {
+    aContext.effects_.push_back(
+      LogLine{ "backend_rate_limit",
+               { { "instance", aState.backend_ ? aState.backend_->heartbeat_.instance_ : "" },
+                 { "per_second", limit ? std::to_string(*limit) : "none" },
+                 { "queued", std::to_string(QueuedCount(aState.admission_)) } } });
+  }
+}
+
 /** The queued or running request of the ticket, whose outcome the joined requests wait for. */
 std::optional<RequestId>
 FindPrimaryRequest(const NodeState& aState, const Ticket& aTicket)
@@ -439,6 +460,7 @@
     return;
   }
   aState.counters_.Add(CounterId::kBackendAnswers);
+  UseSignals(aState, aContext, found->second, aEvent.signals_);
   // After "misdirected", another backend server has this address; it would refuse again.
   if (aEvent.refused_ && aEvent.answer_.status_ != kMisdirectedStatus &&
       OfferAgain(aState, aContext, aEvent.request_)) {
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -252,6 +252,7 @@
   }
   if (verdict == HeartbeatVerdict::kNewIncarnation) {
     aContext.effects_.push_back(CloseIdleBackendConnections{});
+    ClearLimit(aState.admission_.startRate_);
     aContext.effects_.push_back(
       LogLine{ "backend_run",
                { { "instance", aHeartbeat.instance_ },
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -356,4 +356,11 @@
   return aHead.has(header::kLoad) ? ParseLoadList(aHead.get(header::kLoad)) : std::nullopt;
 }
 
+BackendSignals
+ParseBackendSignals(const Poco::Net::HTTPResponse& aHead)
+{
+  return { aHead.has(header::kRateLimit) ? ParseDecimal(aHead.get(header::kRateLimit))
+                                         : std::nullopt };
+}
+
 } // namespace fulmarway
--- a/packages/wire/HttpMapping.h
+++ b/packages/wire/HttpMapping.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "model/BackendLoad.h"
+#include "model/BackendSignals.h"
 #include "model/CallerRequest.h"
 #include "model/Error.h"
 
@@ -32,6 +33,8 @@
 /** The delay of Retry-After in milliseconds; Retry-After itself is rounded up to seconds. */
 /** Of an answer of a backend server: "RUNNING,WAITING,SLOTS,WORK-TIME-PERCENT". */
 inline constexpr const char* kLoad = "Fulmarway-Load";
+/** Of an answer of a backend server: requests per second that it takes from all nodes together. */
+inline constexpr const char* kRateLimit = "Fulmarway-Rate-Limit";
 inline constexpr const char* kRetryAfterMs = "Fulmarway-Retry-After-Ms";
 
 } // namespace header
@@ -83,4 +86,8 @@
 std::optional<BackendLoad>
 ParseBackendLoad(const Poco::Net::HTTPResponse& aHead);
 
+/** The signals in the header kRateLimit. */
+BackendSignals
+ParseBackendSignals(const Poco::Net::HTTPResponse& aHead);
+
 } // namespace fulmarway
--- a/packages/wire/tests/BackendLoadTest.cpp
+++ b/packages/wire/tests/BackendLoadTest.cpp
@@ -50,3 +50,14 @@
   });
   cr_assert(outcome);
 }
+
+/** Guards against a malformed limit on requests per second that is taken for a limit. */
+Test(backend_signals, limit_is_a_decimal_number)
+{
+  Poco::Net::HTTPResponse head;
+  cr_expect(ParseBackendSignals(head) == BackendSignals{});
+  head.set("Fulmarway-Rate-Limit", "7.5");
+  cr_expect(ParseBackendSignals(head) == BackendSignals{ 7.5 });
+  head.set("Fulmarway-Rate-Limit", "1e400");
+  cr_expect(ParseBackendSignals(head) == BackendSignals{});
+}
