Drain a backend server that announces its leave in an answer

Change: the node beside the backend server takes the notice like one to leave; it is final for that incarnation. Answers to requests that started before the first heartbeat of the current incarnation are from an earlier one and are ignored.

routed_calls::backend_server_that_leaves_by_its_answers_gets_nothing_after_the_grace fails when the notice is not used.

--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -335,6 +335,10 @@
                  { "per_second", limit ? std::to_string(*limit) : "none" },
                  { "queued", std::to_string(QueuedCount(aState.admission_)) } } });
   }
+  if (aSignals.leaving_ && aState.backend_ && !aState.backend_->hasLeft_) {
+    const BackendHeartbeat& heartbeat = aState.backend_->heartbeat_;
+    HandleBackendLeft(aState, aContext, { heartbeat.instance_, heartbeat.startedAtMs_ });
+  }
 }
 
 /** The queued or running request of the ticket, whose outcome the joined requests wait for. */
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -129,6 +129,48 @@
   cr_expect_eq(simulation.BackendRequests().size(), kRoutedSlots);
 }
 
+/** Guards against requests that reach a backend server after it announced its leave in an answer
+ * only, while its heartbeats still say that it is ready. */
+Test(routed_calls, backend_server_that_leaves_by_its_answers_gets_nothing_after_the_grace)
+{
+  RoutedSimulation simulation(1);
+  simulation.SendRequest(0, "/safe/1");
+  const auto [node, request] = OnlyRequest(simulation);
+  simulation.Inject(
+    node,
+    BackendAnswered{ request.id_, Answer{ 200 }, false, std::nullopt, { std::nullopt, true } });
+  simulation.Run(std::chrono::milliseconds(1600));
+  simulation.SendRequest(0, "/safe/1");
+  simulation.Run(std::chrono::seconds(3));
+  simulation.SendRequest(0, "/safe/1");
+  cr_expect_eq(simulation.BackendRequests().size(), 1U);
+  // The next backend server on the VM is not affected.
+  BackendHeartbeat next = MakeRoutedHeartbeat(1);
+  next.startedAtMs_ += 1;
+  simulation.sendsHeartbeats_ = false;
+  simulation.Inject(0, BackendHeartbeatReceived{ next });
+  simulation.Run(std::chrono::milliseconds(100));
+  simulation.SendRequest(0, "/safe/1");
+  cr_expect_eq(simulation.BackendRequests().size(), 2U);
+}
+
+/** Guards against an answer of an earlier incarnation that drains the current one. */
+Test(routed_calls, notice_of_an_earlier_incarnation_is_ignored)
+{
+  RoutedSimulation simulation(1);
+  simulation.SendRequest(0, "/safe/1");
+  const auto [node, request] = OnlyRequest(simulation);
+  simulation.Run(std::chrono::milliseconds(20));
+  BackendHeartbeat next = MakeRoutedHeartbeat(1);
+  next.startedAtMs_ += 1;
+  simulation.Inject(0, BackendHeartbeatReceived{ next });
+  simulation.Inject(
+    node,
+    BackendAnswered{ request.id_, Answer{ 200 }, false, std::nullopt, { kRoutedSlots, true } });
+  cr_expect_not(IsLeaving(simulation.nodes_[0].backend_));
+  cr_expect_not(simulation.nodes_[0].admission_.startRate_.perSecond_.has_value());
+}
+
 /** Guards against a stop that refuses connections while callers are still directed to the node, or
  * that does not end before the node is killed. */
 Test(routed_calls, stopping_node_takes_connections_until_callers_are_elsewhere)
