--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -241,6 +241,36 @@
   }
 }
 
+/** Guards against a second copy of an answer that arrives in two parts, before and after the next
+ * request, in chunks or as long as the expected answer. */
+Test(http_client, copy_in_two_parts_is_not_the_next_answer)
+{
+  const std::string copies[] = {
+    "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nab",
+    "HTTP/1.1 200 OK\r\nId: one\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+  };
+  const std::string expected = "HTTP/1.1 200 OK\r\nId: two\r\nContent-Length: 2\r\n\r\ncd";
+  for (const std::string& copy : copies) {
+    for (std::size_t first = 0; first <= copy.size(); ++first) {
+      Client client;
+      client.Send(1, ExpectedEcho{ "Id", "one" });
+      const auto server = client.AcceptRequest(1);
+      server->Send(copy);
+      cr_assert(client.RunUntilResult());
+      server->Send(copy.substr(0, first));
+      // The first part may be in the receive buffer of the client when the next request is sent.
+      client.Send(2, ExpectedEcho{ "Id", "two" });
+      server->Send(copy.substr(first) + expected);
+      server->Close();
+      cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+      const HttpResult& result = client.results_[1];
+      cr_expect(result.outcome_ != ExchangeOutcome::kAnswered || result.response_->body_ == "cd",
+                "%zu bytes before the request",
+                first);
+    }
+  }
+}
+
 /** Guards against a head that the server cut off and that counts as a complete, empty answer. */
 Test(http_client, answer_cut_in_its_head_is_lost)
 {
