Log connections of other nodes that are refused above the limit

They were closed without a line, so that missing links could not be explained. Of the other suspected fault here, HasPendingOutput ignoring links that the node opened itself: what it has not sent on them at its exit are calls and cancellations of a process that ends; the close of the link tells as much.

--- a/packages/node/PeerLinks.cpp
+++ b/packages/node/PeerLinks.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <spdlog/spdlog.h>
 
 namespace fulmarway {
 
@@ -284,6 +285,8 @@
     try {
       Poco::Net::StreamSocket socket = listener_.acceptConnection();
       if (accepted_.size() >= kMaxAcceptedLinks) {
+        spdlog::warn(
+          "event=peer_link_refused accepted={} limit={}", accepted_.size(), kMaxAcceptedLinks);
         continue;
       }
       const LinkId id{ nextId_++ };
