End a planned stop before the time of the kill

Cause: a stop may last up to the stop timeout (bound - 1 s), then 500 ms to gossip the leave and 500 ms to write replies to slow readers. Together that is the whole bound, and one late iteration of the event loop more.

Change: the replies get 250 ms; the times stand together in Lifecycle.h. platform_bounds::stop_ends_before_the_kill failed before for bounds of 4, 6 and 10 s.

--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "logservice/LogProtocol.h"
+#include "policy/Lifecycle.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
@@ -14,7 +15,6 @@
 
 constexpr Duration kHealthCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration kHealthCheckTimeout = std::chrono::seconds(1);
-constexpr Duration kExitFlushTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxAdminBodyBytes = 64U << 10;
 /** Large enough for a configuration snapshot with its audit trail at the target size. */
 constexpr std::size_t kMaxLogBodyBytes = 16U << 20;
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr Duration kHandoverResendInterval = std::chrono::milliseconds(300);
-/** Time for gossip to spread that the node left, before its sockets close. */
-constexpr Duration kLeaveGossipTime = std::chrono::milliseconds(500);
 
 void
 SetMemberState(NodeState& aState,
--- a/packages/policy/Lifecycle.h
+++ b/packages/policy/Lifecycle.h
@@ -8,6 +8,11 @@
 
 namespace fulmarway {
 
+/** Time for gossip to spread that the node left, before its sockets close. */
+inline constexpr Duration kLeaveGossipTime = std::chrono::milliseconds(500);
+/** Longest time that the process still writes replies to slow readers after that. */
+inline constexpr Duration kExitFlushTimeout = std::chrono::milliseconds(250);
+
 void
 HandleBackendHealth(NodeState& aState, ReduceContext& aContext, bool aHealthy);
 
