--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -222,8 +222,7 @@
  * to the next request on the connection, which may be running. */
 Test(http_client, repeated_refusal_without_an_id_is_not_the_next_answer)
 {
-  const std::string refusal =
-    "HTTP/1.1 503 Busy\r\nRefused: 1\r\nContent-Length: 2\r\n\r\nab";
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nRefused: 1\r\nContent-Length: 2\r\n\r\nab";
   const std::string named = "HTTP/1.1 503 Busy\r\nId: one\r\nContent-Length: 2\r\n\r\nab";
   for (const bool isNamed : { true, false }) {
     Client client;
