--- a/packages/node/tests/SettingsTest.cpp
+++ b/packages/node/tests/SettingsTest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
+#include <rapidcheck.h>
 #include <sstream>
 
 using namespace fulmarway;
@@ -272,3 +273,36 @@
   cr_expect(ReportSettings(checked, output, errors) == 0);
   cr_expect(errors.str().empty());
 }
+
+/** Guards against a setting that ends the process with an exception in place of an error. */
+Test(settings, arbitrary_values_are_accepted_or_refused)
+{
+  const auto expectResult = [](const SettingsResult& aResult, const char* aName) {
+    cr_expect(aResult || !aResult.error().message_.empty(), "%s", aName);
+  };
+  const char* odd[] = { "",
+                        "-1",
+                        "1e400",
+                        "18446744073709551616",
+                        "9223372036854775807",
+                        "0x10",
+                        "\xff\xfe",
+                        "[[[[",
+                        "127.0.0.1:99999",
+                        "::",
+                        ",,,",
+                        "{\"a\":",
+                        "nan",
+                        "1;2" };
+  for (const SettingCase& row : kCases) {
+    for (const char* value : odd) {
+      expectResult(Parse(With(kValid, row.name_, value), {}), row.name_);
+      expectResult(Parse(kValid, { { row.name_, value } }), row.name_);
+    }
+  }
+  rc::check("arbitrary arguments are accepted or refused",
+            [&](const std::vector<std::string>& aArguments) {
+              const auto nothing = [](const std::string&) { return std::nullopt; };
+              expectResult(ParseSettings(aArguments, nothing), "arguments");
+            });
+}
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -39,6 +39,44 @@
   }
 }
 
+/** Guards against a late second copy of a message between nodes that ends, answers or repeats
+ * another attempt: the request runs at most once more, and its caller gets the answer of the
+ * attempt that is running. */
+Test(routed_calls, copies_of_messages_between_nodes_change_nothing)
+{
+  RoutedSimulation simulation(3);
+  const ExchangeId exchange = simulation.SendRequest(0, "/unsafe/1");
+  const auto [first, request] = OnlyRequest(simulation);
+  const auto firstAttempt = simulation.nodes_[0].outbound_.byAttempt_.begin()->first;
+  simulation.Inject(first, BackendAnswered{ request.id_, Answer{ 503 }, true });
+  const auto requests = simulation.BackendRequests();
+  cr_assert_eq(requests.size(), 2U);
+  const auto secondAttempt = simulation.nodes_[0].outbound_.byAttempt_.begin()->first;
+  const NodeId firstNode = simulation.nodes_[first].settings_.identity_.id_;
+  CallAnswer answer;
+  answer.attempt_ = firstAttempt;
+  answer.answer_.status_ = 200;
+  const PeerMessage copies[] = {
+    CallRefused{ firstAttempt, { Verdict::kNotRun, Reason::kRefusedByBackend, std::nullopt } },
+    answer,
+    CallAnswerPart{ firstAttempt, 0, "copy" },
+  };
+  for (const PeerMessage& copy : copies) {
+    simulation.Inject(0, PeerMessageArrived{ firstNode, copy });
+    // A copy for the running attempt from a node that does not execute it is foreign as well.
+    cr_expect_eq(simulation.BackendRequests().size(), 2U);
+    cr_expect_not(simulation.ReplyTo(0, exchange).has_value());
+  }
+  simulation.Inject(requests[1].first,
+                    BackendAnswered{ requests[1].second.id_, Answer{ 201 }, false });
+  cr_assert(simulation.ReplyTo(0, exchange).has_value());
+  cr_expect_eq(simulation.ReplyTo(0, exchange)->answer_->status_, 201);
+  answer.attempt_ = secondAttempt;
+  simulation.Inject(
+    0, PeerMessageArrived{ simulation.nodes_[requests[1].first].settings_.identity_.id_, answer });
+  cr_expect_eq(simulation.Effects<ReplyToCaller>(0).size(), 1U);
+}
+
 /** Guards against refusing a request that another backend server could have executed. */
 Test(routed_calls, refused_request_is_sent_to_another_backend_server)
 {
