--- a/packages/policy/tests/StartRateTest.cpp
+++ b/packages/policy/tests/StartRateTest.cpp
@@ -17,14 +17,13 @@
 namespace {
 
 constexpr double kLimit = 40;
-constexpr Duration kServiceTime = 10ms;
 /** Window in which the arrivals are judged, and the requests allowed in it beyond the limit. */
 constexpr Duration kWindow = 4s;
 constexpr double kAllowedExcess = 1.5;
 constexpr std::size_t kAllowedExtra = 5;
 
-/** Offers requests to one node from several entry nodes. The backend server answers each after
- * kServiceTime, naming the limit in effect. */
+/** Offers requests to one node from several entry nodes. The backend server answers each at once,
+ * naming the limit in effect. */
 class LimitedBackend
 {
 public:
