--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -96,13 +96,13 @@
 
 /** A listening socket; port 0 selects a free one. Returns -1 on failure. */
 inline int
-Listen(const std::string& aIp, int& aPort)
+Listen(const std::string& aIp, int& aPort, int aBacklog = 1024)
 {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address = AddressOf(aIp, aPort);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || listen(fd, 1024) != 0) {
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || listen(fd, aBacklog) != 0) {
     close(fd);
     return -1;
   }
@@ -265,21 +265,24 @@
 public:
   using Handler = std::function<void(int aFd)>;
 
-  Server(const std::string& aIp, int aPort, Handler aHandler)
+  Server(const std::string& aIp, int aPort, Handler aHandler, int aBacklog = 1024, double aAcceptS = 0)
     : handler_(std::move(aHandler))
     , port_(aPort)
-    , fd_(Listen(aIp, port_))
+    , fd_(Listen(aIp, port_, aBacklog))
   {
     if (fd_ < 0) {
       std::fprintf(stderr, "cannot listen on %s:%d\n", aIp.c_str(), aPort);
       std::exit(kCouldNotRun);
     }
-    thread_ = std::thread([this] {
+    thread_ = std::thread([this, aAcceptS] {
       while (true) {
         const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
         if (fd < 0) {
           return;
         }
+        if (aAcceptS > 0) {
+          std::this_thread::sleep_for(std::chrono::duration<double>(aAcceptS));
+        }
         const int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         std::thread([this, fd] {
--- a/review/standins/refused_copy.cc
+++ b/review/standins/refused_copy.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr int kClients = 12;
-constexpr double kSeconds = 75;
+constexpr int kClients = 24;
+constexpr double kSeconds = 95;
 /** clubhouse-signups: srv_grey, how "shed", x 0.45. */
 constexpr double kRefusedShare = 0.45;
 /** wijesinghe-roast: garble, how "extra late", x 0.03. */
