Review: report, entries of known faults, case 3 with a longer queue of connections

Cause: see the claims of the cases. Case 3 had a queue of 5 new connections, which is short for 40 slots; it has 16 now.

--- a/review/standins/drain_connect.cc
+++ b/review/standins/drain_connect.cc
@@ -16,7 +16,7 @@
 constexpr int kCalm = 40;
 constexpr int kUsual = 80;
 /** Queue of new connections of the backend servers. */
-constexpr int kBacklog = 5;
+constexpr int kBacklog = 16;
 /** "1 ms a new connection" */
 constexpr double kAcceptS = 0.001;
 constexpr double kDrainS = 2;
