--- a/review/standins/refused_copy.cc
+++ b/review/standins/refused_copy.cc
@@ -6,6 +6,7 @@
  */
 #include "harness.hpp"
 
+#include <cmath>
 #include <utility>
 
 using namespace review;
@@ -18,6 +19,9 @@
 constexpr double kRefusedShare = 0.05;
 /** wijesinghe-roast: garble, how "extra late", x 0.03. */
 constexpr double kCopiedShare = 0.03;
+/** Both for 5 s at a time, as "extra late" there, and again after 2 s. */
+constexpr double kWindowS = 5;
+constexpr double kPauseS = 2;
 constexpr auto kWork = std::chrono::milliseconds(100);
 
 struct Run
@@ -33,6 +37,15 @@
 std::atomic<int> gCopies{ 0 };
 std::atomic<bool> gStop{ false };
 
+/** Whether the disruptions are on at the moment. */
+bool
+IsDisrupted()
+{
+  static const auto start = Clock::now();
+  const double elapsed = std::chrono::duration<double>(Clock::now() - start).count();
+  return HasTrouble() && std::fmod(elapsed, kWindowS + kPauseS) < kWindowS;
+}
+
 void
 ServeBackend(int aFd, const Machine& aMachine, Record& aRecord)
 {
@@ -48,7 +61,7 @@
     const std::string target = request.Get("Target-Instance");
     if (!target.empty() && target != aMachine.instance_) {
       answer = Respond(421, "Not-Processed: 1\r\nRequest-Id: " + id + "\r\n", "");
-    } else if (HasTrouble() && draw(random) < kRefusedShare) {
+    } else if (IsDisrupted() && draw(random) < kRefusedShare) {
       ++gRefusals;
       aRecord.Line("backend  refuses %s (503, Not-Processed)", id.c_str());
       answer = Respond(503, "Not-Processed: 1\r\nRequest-Id: " + id + "\r\n", "full\n");
@@ -73,7 +86,7 @@
         return;
       }
     }
-    if (HasTrouble() && draw(random) < kCopiedShare) {
+    if (IsDisrupted() && draw(random) < kCopiedShare) {
       copy = answer;
     }
     if (!WriteAll(aFd, answer)) {
