Send a second offer on a connection that has not carried the request

Cause: an answer is matched to its request by the id of the request, which is the same for the first and the second offer of a request that the backend server refused. The node sent the second offer on its most recently used connection, the one that carried the refusal. A late copy of the refusal was then taken for the answer to the second offer.

Class: an answer believed from the wrong attempt. It applies to every request that repeats an id: second offers of the entry node, offers again by the node beside the backend server, and callers that use an id twice. Between nodes, messages carry the number of the attempt. Ruled out: mixed-up attempts at the entry node, and a false first refusal.

Change: a connection remembers the ids that it has carried. A request whose id is among them is sent on another idle connection or a new one. A connection is replaced after 1,000 requests, so the ids take 8 KB at most. Second offers are still made.

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <functional>
 #include <spdlog/spdlog.h>
 
 namespace fulmarway {
@@ -24,6 +25,19 @@
   return aEcho && aHasAnsweredBefore && !aHead.has(aEcho->name_);
 }
 
+std::size_t
+HashOf(const ExpectedEcho& aEcho)
+{
+  return std::hash<std::string>{}(aEcho.value_);
+}
+
+/** With equal hashes of different values, another connection is used, which does no harm. */
+bool
+HasCarried(const std::vector<std::size_t>& aCarried, const std::optional<ExpectedEcho>& aEcho)
+{
+  return aEcho && std::find(aCarried.begin(), aCarried.end(), HashOf(*aEcho)) != aCarried.end();
+}
+
 } // namespace
 
 HttpClient::HttpClient(const HttpClientSettings& aSettings, Poller& aPoller)
@@ -36,21 +50,26 @@
 HttpClient::Connect()
 {
   const std::uint64_t id = nextId_++;
-  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, false, false, {}, {} };
+  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, {}, false, false, {}, {} };
   poller_.Add({ settings_.role_, id }, connection.channel_.Socket());
   connections_.emplace(id, std::move(connection));
   return id;
 }
 
 std::optional<std::uint64_t>
-HttpClient::PopIdleConnection(Instant aNow)
+HttpClient::PopIdleConnection(const std::optional<ExpectedEcho>& aEcho, Instant aNow)
 {
-  while (!idle_.empty()) {
-    const std::uint64_t id = idle_.back();
-    idle_.pop_back();
+  for (std::size_t next = idle_.size(); next > 0; --next) {
+    const auto entry = idle_.begin() + static_cast<std::ptrdiff_t>(next - 1);
+    const std::uint64_t id = *entry;
     const auto found = connections_.find(id);
-    if (found != connections_.end() && !found->second.token_ &&
-        aNow < found->second.idleSince_ + settings_.maxIdle_) {
+    const bool isUsable = found != connections_.end() && !found->second.token_ &&
+                          aNow < found->second.idleSince_ + settings_.maxIdle_;
+    if (isUsable && HasCarried(found->second.carriedEchoes_, aEcho)) {
+      continue;
+    }
+    idle_.erase(entry);
+    if (isUsable) {
       return id;
     }
   }
@@ -71,7 +90,7 @@
   aHead.setKeepAlive(true);
   std::uint64_t id = 0;
   try {
-    const auto idle = PopIdleConnection(aNow);
+    const auto idle = PopIdleConnection(aEcho, aNow);
     id = idle ? *idle : Connect();
   } catch (const Poco::Exception&) {
     results_.push_back({ aToken, ExchangeOutcome::kNotSent, std::nullopt });
@@ -81,6 +100,9 @@
   connection.token_ = aToken;
   connection.writtenBefore_ = connection.channel_.BytesWritten();
   connection.deadline_ = aDeadline;
+  if (aEcho) {
+    connection.carriedEchoes_.push_back(HashOf(*aEcho));
+  }
   connection.echo_ = std::move(aEcho);
   byToken_.insert_or_assign(aToken, id);
   connection.channel_.Queue(FormatHttp(aHead, aBody));
@@ -207,7 +229,8 @@
   }
   const bool keepsAlive = (*parsed)->head_.getKeepAlive() && connection.input_.empty() &&
                           connection.channel_.PendingBytes() == 0 &&
-                          !connection.receivedStaleAnswer_;
+                          !connection.receivedStaleAnswer_ &&
+                          connection.carriedEchoes_.size() < kMaxRequestsPerConnection;
   AddAnswer(connection, std::move(**parsed));
   connection.idleSince_ = aNow;
   if (keepsAlive) {
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -44,8 +44,14 @@
   Duration maxIdle_ = std::chrono::seconds(3);
 };
 
+/** Requests with an ExpectedEcho that one connection carries before it is replaced. Bounds the
+ * memory for their values to 8 KB. */
+inline constexpr std::size_t kMaxRequestsPerConnection = 1000;
+
 /** A header field that the server copies from a request into its answer. An answer with another
- * value belongs to an earlier request on the connection. */
+ * value belongs to an earlier request on the connection. A request that repeats a value is sent on
+ * a connection that has not carried it: a late copy of the first answer could not be told from the
+ * answer to the repeat. */
 struct ExpectedEcho
 {
   std::string name_;
@@ -94,6 +100,8 @@
     /** Bytes that the channel had written before the current request. */
     std::uint64_t writtenBefore_ = 0;
     std::optional<ExpectedEcho> echo_ = {};
+    /** Hashes of the echo values of all requests on the connection. */
+    std::vector<std::size_t> carriedEchoes_ = {};
     /** A late answer to an earlier request has arrived; the connection is closed after the current
      * request. */
     bool receivedStaleAnswer_ = false;
@@ -107,8 +115,10 @@
   };
 
   std::uint64_t Connect();
-  /** Returns the most recently used idle connection, so that surplus ones time out. */
-  std::optional<std::uint64_t> PopIdleConnection(Instant aNow);
+  /** Returns the most recently used idle connection, so that surplus ones time out, of those that
+   * have not carried a request with this echo. */
+  std::optional<std::uint64_t> PopIdleConnection(const std::optional<ExpectedEcho>& aEcho,
+                                                 Instant aNow);
   void Close(std::uint64_t aId);
   /** Closes the connection; its current request, if any, ends as kLost or kNotSent. */
   void Fail(std::uint64_t aId);
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -270,6 +270,79 @@
   }
 }
 
+/** Guards against a second copy of a refusal that is taken for the answer to the second offer of
+ * the same request: both carry its id, and the second offer may be running. */
+Test(http_client, copy_of_a_refusal_is_not_the_answer_to_the_second_offer)
+{
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nId: one\r\nContent-Length: 2\r\n\r\nno";
+  const std::string expected = "HTTP/1.1 200 OK\r\nId: one\r\nContent-Length: 2\r\n\r\nab";
+  // Other requests may have used the connection in between.
+  for (const std::uint64_t others : { 0, 1, 5, 200 }) {
+    Client client;
+    client.Send(1, ExpectedEcho{ "Id", "one" });
+    const auto first = client.AcceptRequest(1);
+    first->Send(refusal);
+    cr_assert(client.RunUntilResult());
+    for (std::uint64_t token = 2; token < 2 + others; ++token) {
+      const std::string id = std::to_string(token);
+      client.Send(token, ExpectedEcho{ "Id", id });
+      cr_assert(client.RunUntil([&] { return first->Has("GET /" + id + " "); }),
+                "the connection still serves other requests");
+      first->Send("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nab");
+      cr_assert(client.RunUntil([&] { return client.results_.size() == token; }));
+    }
+    client.results_.clear();
+    client.Send(1, ExpectedEcho{ "Id", "one" });
+    first->Send(refusal);
+    const auto second = client.AcceptRequest(1);
+    second->Send(expected);
+    cr_assert(client.RunUntilResult());
+    cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kAnswered);
+    cr_expect_eq(client.results_[0].response_->body_, "ab");
+  }
+}
+
+/** Guards against a second offer that opens a connection although another one is idle, and against
+ * the loss of the idle connections that it cannot use. */
+Test(http_client, second_offer_uses_another_idle_connection)
+{
+  Client client;
+  client.Send(1, ExpectedEcho{ "Id", "one" });
+  client.Send(2, ExpectedEcho{ "Id", "two" });
+  const auto first = client.AcceptRequest(1);
+  const auto other = client.AcceptRequest(2);
+  other->Send("HTTP/1.1 200 OK\r\nId: two\r\nContent-Length: 2\r\n\r\nab");
+  cr_assert(client.RunUntilResult());
+  first->Send("HTTP/1.1 503 Busy\r\nId: one\r\nContent-Length: 2\r\n\r\nno");
+  cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+  client.Send(1, ExpectedEcho{ "Id", "one" });
+  cr_expect(client.RunUntil([&] { return other->Has("GET /1 "); }));
+  client.Send(3, ExpectedEcho{ "Id", "three" });
+  cr_expect(client.RunUntil([&] { return first->Has("GET /3 "); }));
+}
+
+/** Guards against ids that accumulate on a connection in constant use. */
+Test(http_client, connection_is_replaced_after_its_last_request)
+{
+  Client client;
+  client.Send(1, ExpectedEcho{ "Id", "1" });
+  auto server = client.AcceptRequest(1);
+  for (std::uint64_t token = 1; token <= kMaxRequestsPerConnection; ++token) {
+    cr_assert(!server->IsClosed(), "request %lu", static_cast<unsigned long>(token));
+    server->Send("HTTP/1.1 200 OK\r\nId: " + std::to_string(token) +
+                 "\r\nContent-Length: 2\r\n\r\nab");
+    cr_assert(client.RunUntil([&] { return client.results_.size() == token; }));
+    if (token < kMaxRequestsPerConnection) {
+      const std::string id = std::to_string(token + 1);
+      client.Send(token + 1, ExpectedEcho{ "Id", id });
+      cr_assert(client.RunUntil([&] { return server->Has("GET /" + id + " "); }));
+    }
+  }
+  cr_expect(client.RunUntil([&] { return server->IsClosed(); }));
+  client.Send(0, ExpectedEcho{ "Id", "next" });
+  client.AcceptRequest(0);
+}
+
 /** Guards against a head that the server cut off and that counts as a complete, empty answer. */
 Test(http_client, answer_cut_in_its_head_is_lost)
 {
