Keep the departure of a backend server beyond the process of its node

Cause: the leave was in the memory of the process only. After a restart of the node, any first heartbeat counted as that of a new incarnation, so one from before the leave that arrived late brought the backend server back into use.

Ruled out: peers with an old record of the node (requests stop at the kill and start with the late heartbeat), and the comparison of sequence numbers (the new process has none to compare with).

Change: the record of a node holds the latest departure of a backend server on its VM, and with it the store and the peers do. A departure is acknowledged once the store has it, after 700 ms without the store anyway. A new process lists the announcements before it replaces its own and before it uses its backend server, for 1 s at most. What it finds counts as if it had seen it; a later incarnation is used at once. Leaves that are announced in answers only take the same way.

The presence of a departure shares a byte with the state, so records without one are as long as before.

store_sync::node_starts_every_store_call_at_its_start expected the first announcement without an answer to the listing. It now expects none before that answer and one after it.

--- a/packages/model/BackendHeartbeat.h
+++ b/packages/model/BackendHeartbeat.h
@@ -5,6 +5,7 @@
 
 #include "model/Time.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -41,6 +42,22 @@
   bool operator==(const BackendLeave&) const = default;
 };
 
+/** That an incarnation of a backend server leaves, as its node keeps it outside its process. After
+ * a restart the node must not take a heartbeat from before the departure for that of a new
+ * incarnation. */
+struct BackendDeparture
+{
+  /** As in BackendHeartbeat. */
+  std::string instance_;
+  std::uint64_t startedAtMs_ = 0;
+  /** Sequence of the heartbeat that announced the departure; earlier ones are outdated. */
+  std::uint64_t sequence_ = 0;
+  /** The incarnation left for good. Otherwise it drains, which a later heartbeat may take back. */
+  bool final_ = false;
+
+  auto operator<=>(const BackendDeparture&) const = default;
+};
+
 /** Whether a heartbeat was applied. Heartbeats are acknowledged in either case. */
 enum class HeartbeatVerdict : std::uint8_t
 {
--- a/packages/model/Member.h
+++ b/packages/model/Member.h
@@ -3,9 +3,11 @@
  */
 #pragma once
 
+#include "model/BackendHeartbeat.h"
 #include "model/Ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -60,6 +62,8 @@
   std::uint64_t configVersion_ = 0;
   /** The node that holds this node's tickets; only for kLeft, zero when there is none. */
   NodeId successor_;
+  /** The latest departure of a backend server on the node's VM. */
+  std::optional<BackendDeparture> departure_ = {};
 
   auto operator<=>(const MemberRecord&) const = default;
 };
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -97,6 +97,7 @@
   void RunEffect(CallBackend& aEffect);
   void RunEffect(CancelBackend& aEffect);
   void RunEffect(CloseIdleBackendConnections& aEffect);
+  void RunEffect(AcknowledgeNotice& aEffect);
   void RunEffect(CallStore& aEffect);
   void RunEffect(ReadLog& aEffect);
   void RunEffect(AppendLog& aEffect);
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -90,6 +90,12 @@
   backend_.CloseIdle();
 }
 
+void
+Node::RunEffect(AcknowledgeNotice& aEffect)
+{
+  ReplyToHeartbeat(aEffect.exchange_, Poco::Net::HTTPResponse::HTTP_OK);
+}
+
 void
 Node::RunEffect(CallStore& aEffect)
 {
--- a/packages/node/NodeStore.cpp
+++ b/packages/node/NodeStore.cpp
@@ -21,13 +21,10 @@
       continue;
     }
     if (const auto* heartbeat = std::get_if<BackendHeartbeat>(&*notice)) {
-      queue_.push_back(BackendHeartbeatReceived{ *heartbeat });
+      queue_.push_back(BackendHeartbeatReceived{ *heartbeat, arrived.exchange_ });
     } else {
-      queue_.push_back(BackendLeft{ std::get<BackendLeave>(*notice) });
+      queue_.push_back(BackendLeft{ std::get<BackendLeave>(*notice), arrived.exchange_ });
     }
-    // Acknowledge only after the notice has taken effect.
-    DrainQueue();
-    ReplyToHeartbeat(arrived.exchange_, Poco::Net::HTTPResponse::HTTP_OK);
   }
 }
 
--- a/packages/policy/BackendHeartbeats.h
+++ b/packages/policy/BackendHeartbeats.h
@@ -1,5 +1,6 @@
 /** \file
- * State of the current incarnation of the local backend server, from its heartbeats.
+ * State of the current incarnation of the local backend server, from its heartbeats and from the
+ * departure that an earlier process of the node recorded.
  */
 #pragma once
 
@@ -46,6 +47,22 @@
 Step<std::optional<BackendInstance>, bool>
 ApplyLeave(std::optional<BackendInstance> aCurrent, const BackendLeave& aLeave);
 
+/** The departure of the current incarnation; nullopt while it does not leave. */
+std::optional<BackendDeparture>
+DepartureOf(const std::optional<BackendInstance>& aCurrent);
+
+/** Whether aLeft is of a later incarnation than aRight, or the final one of the same. */
+bool
+IsLaterDeparture(const std::optional<BackendDeparture>& aLeft,
+                 const std::optional<BackendDeparture>& aRight);
+
+/** Applies a departure that an earlier process of the node recorded. Returns whether the current
+ * incarnation leaves by it and did not before. */
+Step<std::optional<BackendInstance>, bool>
+ApplyDeparture(std::optional<BackendInstance> aCurrent,
+               const BackendDeparture& aDeparture,
+               Instant aNow);
+
 /** Whether the current incarnation drains or has left for good, so that it gets no new requests. */
 bool
 IsLeaving(const std::optional<BackendInstance>& aCurrent);
--- a/packages/policy/Effect.h
+++ b/packages/policy/Effect.h
@@ -74,6 +74,14 @@
   bool operator==(const CloseIdleBackendConnections&) const = default;
 };
 
+/** Acknowledges a heartbeat or a leave of the local backend server. */
+struct AcknowledgeNotice
+{
+  ExchangeId exchange_;
+
+  bool operator==(const AcknowledgeNotice&) const = default;
+};
+
 /** Calls the store; the result arrives in StoreCallFinished. */
 struct CallStore
 {
@@ -155,6 +163,7 @@
                             CallBackend,
                             CancelBackend,
                             CloseIdleBackendConnections,
+                            AcknowledgeNotice,
                             CallStore,
                             ReadLog,
                             AppendLog,
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -105,17 +105,20 @@
   bool operator==(const BackendHealthChanged&) const = default;
 };
 
-/** A heartbeat of the local backend server. */
+/** A heartbeat of the local backend server, acknowledged with AcknowledgeNotice. */
 struct BackendHeartbeatReceived
 {
   BackendHeartbeat heartbeat_;
+  ExchangeId exchange_ = {};
 
   bool operator==(const BackendHeartbeatReceived&) const = default;
 };
 
+/** Acknowledged with AcknowledgeNotice. */
 struct BackendLeft
 {
   BackendLeave leave_;
+  ExchangeId exchange_ = {};
 
   bool operator==(const BackendLeft&) const = default;
 };
--- a/packages/policy/GossipQueue.cpp
+++ b/packages/policy/GossipQueue.cpp
@@ -41,6 +41,8 @@
 constexpr std::size_t kVariantBytes = 4;
 /** Generation, sequence, state, epoch, version and successor. */
 constexpr std::size_t kRecordNumberBytes = 8 + 4 + 1 + 4 + 8 + kIdBytes;
+/** Start, sequence and finality of a departure. */
+constexpr std::size_t kDepartureNumberBytes = 8 + 8 + 1;
 constexpr std::size_t kSummaryBytes = kIdBytes + 8 + 4 + 1;
 
 std::size_t
@@ -151,7 +153,9 @@
   const NodeIdentity& identity = aRecord.identity_;
   return kIdBytes + kIncarnationBytes + kRecordNumberBytes + TextBytes(identity.peerAddress_) +
          TextBytes(identity.adminAddress_) + TextBytes(identity.service_) +
-         TextBytes(identity.domain_) + TextBytes(identity.region_);
+         TextBytes(identity.domain_) + TextBytes(identity.region_) +
+         (aRecord.departure_ ? kDepartureNumberBytes + TextBytes(aRecord.departure_->instance_)
+                             : 0);
 }
 
 std::size_t
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/Inbound.h"
 #include "policy/RouteCandidates.h"
+#include "policy/StoreSync.h"
 
 #include <algorithm>
 
@@ -88,11 +89,20 @@
   }
 }
 
+/** Whether this process knows the departures that earlier ones recorded, or has waited for them. */
+bool
+KnowsDepartures(const NodeState& aState, Instant aNow)
+{
+  return !aState.settings_.usesStore_ || aState.store_.hasListed_ ||
+         aNow >= aState.membership_.startedAt_ + kDepartureLookupTimeout;
+}
+
 /** Derives the health of a backend server that sends heartbeats from these. */
 void
 UpdateHealthFromHeartbeats(NodeState& aState, ReduceContext& aContext)
 {
-  const bool isUsable = IsUsable(aState.backend_, aContext.now_);
+  const bool isUsable =
+    IsUsable(aState.backend_, aContext.now_) && KnowsDepartures(aState, aContext.now_);
   if (aState.backend_ && isUsable != aState.lifecycle_.backendHealthy_) {
     const Duration age = aContext.now_ - aState.backend_->lastHeartbeatAt_;
     aContext.effects_.push_back(
@@ -104,6 +114,66 @@
   }
 }
 
+/** Writes a departure of the backend server that is new since aBefore into the record of this node,
+ * from where it gets to the store and to the peers. */
+void
+RecordDeparture(NodeState& aState,
+                ReduceContext& aContext,
+                const std::optional<BackendDeparture>& aBefore)
+{
+  const auto departure = DepartureOf(aState.backend_);
+  // The heartbeats of a draining backend server repeat its departure.
+  const bool isRepeated = departure && aBefore && departure->instance_ == aBefore->instance_ &&
+                          departure->startedAtMs_ == aBefore->startedAtMs_ &&
+                          departure->final_ == aBefore->final_;
+  if (isRepeated || !IsLaterDeparture(departure, aState.membership_.self_.departure_)) {
+    return;
+  }
+  ApplyGossipOutput(
+    aState,
+    aContext,
+    Apply(aState.membership_,
+          SetLocalDeparture(
+            std::move(aState.membership_), *departure, aContext.random_.Next(), aContext.now_)));
+  aState.store_.nextAnnounceAt_ = aContext.now_;
+}
+
+/** Applies the departure that an earlier process recorded. Its grace time counted from then and is
+ * over: no node has sent requests to this process yet. */
+void
+RestoreDeparture(NodeState& aState, ReduceContext& aContext)
+{
+  const auto& recorded = aState.membership_.self_.departure_;
+  if (!recorded || !Apply(aState.backend_,
+                          ApplyDeparture(std::move(aState.backend_), *recorded, aContext.now_))) {
+    return;
+  }
+  aContext.effects_.push_back(LogLine{ "backend_departure_restored",
+                                       { { "instance", recorded->instance_ },
+                                         { "started_ms", std::to_string(recorded->startedAtMs_) },
+                                         { "final", recorded->final_ ? "true" : "false" } } });
+  UpdateDrain(aState, aContext);
+  aState.lifecycle_.drainStartedAt_ =
+    std::min(aState.lifecycle_.drainStartedAt_, aContext.now_ - aState.settings_.drainGrace_);
+}
+
+/** Sends the acknowledgements whose departure is in the store, or that waited for too long. */
+void
+AdvanceAcknowledgements(NodeState& aState, ReduceContext& aContext)
+{
+  const bool isStored = IsDepartureStored(aState);
+  std::erase_if(aState.pendingAcknowledgements_, [&](const PendingAcknowledgement& aPending) {
+    if (!isStored && aContext.now_ < aPending.deadline_) {
+      return false;
+    }
+    if (!isStored) {
+      aContext.effects_.push_back(LogLine{ "backend_departure_not_stored", {} });
+    }
+    aContext.effects_.push_back(AcknowledgeNotice{ aPending.exchange_ });
+    return true;
+  });
+}
+
 bool
 HasWork(const NodeState& aState)
 {
@@ -243,6 +313,8 @@
                { { "instance", aHeartbeat.instance_ }, { "service", aHeartbeat.service_ } } });
     return;
   }
+  RestoreDeparture(aState, aContext);
+  const auto departureBefore = DepartureOf(aState.backend_);
   const HeartbeatVerdict verdict =
     Apply(aState.backend_, ApplyHeartbeat(std::move(aState.backend_), aHeartbeat, aContext.now_));
   if (verdict == HeartbeatVerdict::kOutdated) {
@@ -266,18 +338,31 @@
       Apply(aState.admission_, Configure(std::move(aState.admission_), settings, aContext.now_)));
   }
   UpdateHealthFromHeartbeats(aState, aContext);
+  RecordDeparture(aState, aContext, departureBefore);
   UpdateDrain(aState, aContext);
 }
 
 void
 HandleBackendLeft(NodeState& aState, ReduceContext& aContext, const BackendLeave& aLeave)
 {
+  const auto departureBefore = DepartureOf(aState.backend_);
   if (Apply(aState.backend_, ApplyLeave(std::move(aState.backend_), aLeave))) {
     aContext.effects_.push_back(LogLine{ "backend_leaves", { { "instance", aLeave.instance_ } } });
+    RecordDeparture(aState, aContext, departureBefore);
     UpdateDrain(aState, aContext);
   }
 }
 
+void
+AcknowledgeWhenStored(NodeState& aState, ReduceContext& aContext, ExchangeId aExchange)
+{
+  if (!IsLeaving(aState.backend_) || IsDepartureStored(aState)) {
+    aContext.effects_.push_back(AcknowledgeNotice{ aExchange });
+    return;
+  }
+  aState.pendingAcknowledgements_.push_back({ aExchange, aContext.now_ + kDepartureStoreTimeout });
+}
+
 void
 RecordFailedConnect(NodeState& aState, ReduceContext& aContext)
 {
@@ -337,8 +422,10 @@
 void
 AdvanceLifecycle(NodeState& aState, ReduceContext& aContext)
 {
+  RestoreDeparture(aState, aContext);
   UpdateDrain(aState, aContext);
   UpdateHealthFromHeartbeats(aState, aContext);
+  AdvanceAcknowledgements(aState, aContext);
   if (aState.lifecycle_.stopRequested_) {
     AdvanceStop(aState, aContext);
   }
--- a/packages/policy/Lifecycle.h
+++ b/packages/policy/Lifecycle.h
@@ -16,6 +16,13 @@
 void
 HandleBackendHealth(NodeState& aState, ReduceContext& aContext, bool aHealthy);
 
+/** Longest time that the acknowledgement of a departure waits for the store. The backend server
+ * gives up after 1 s. */
+inline constexpr Duration kDepartureStoreTimeout = std::chrono::milliseconds(700);
+/** Longest time after its start that a node waits for the departures of earlier processes before it
+ * uses its backend server: that of one call to the store. */
+inline constexpr Duration kDepartureLookupTimeout = std::chrono::seconds(1);
+
 /** Applies a heartbeat of the local backend server: incarnation, slots, and drain state. */
 void
 HandleBackendHeartbeat(NodeState& aState,
@@ -26,6 +33,11 @@
 void
 HandleBackendLeft(NodeState& aState, ReduceContext& aContext, const BackendLeave& aLeave);
 
+/** Acknowledges a notice of the local backend server after it was handled. While a departure is not
+ * in the store yet, the acknowledgement waits: a new process of the node could not know of it. */
+void
+AcknowledgeWhenStored(NodeState& aState, ReduceContext& aContext, ExchangeId aExchange);
+
 /** Counts a connection to the local backend server that could not be opened. */
 void
 RecordFailedConnect(NodeState& aState, ReduceContext& aContext);
--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -1,5 +1,6 @@
 #include "policy/MemberTable.h"
 
+#include "policy/BackendHeartbeats.h"
 #include "policy/GossipQueue.h"
 #include "policy/MovedIncarnations.h"
 
@@ -38,6 +39,11 @@
 {
   MemberRecord& self = aContext.state_.self_;
   const NodeIdentity& seen = aRecord.identity_;
+  const bool hasDeparture = IsLaterDeparture(aRecord.departure_, self.departure_);
+  if (hasDeparture) {
+    // Recorded by an earlier process of this node; it must stay in the record that replaces it.
+    self.departure_ = aRecord.departure_;
+  }
   const bool otherIncarnation = seen.generation_ > self.identity_.generation_ ||
                                 (seen.generation_ == self.identity_.generation_ &&
                                  seen.incarnation_ != self.identity_.incarnation_);
@@ -46,8 +52,10 @@
     self.sequence_ = 0;
   } else if (Wins(aRecord, self)) {
     self.sequence_ = aRecord.sequence_ + 1;
-  } else {
+  } else if (!hasDeparture) {
     return;
+  } else {
+    ++self.sequence_;
   }
   SpreadLocalRecord(aContext);
 }
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -315,6 +315,22 @@
   });
 }
 
+Step<MembershipState, GossipOutput>
+SetLocalDeparture(MembershipState aState,
+                  const BackendDeparture& aDeparture,
+                  std::uint64_t aEntropy,
+                  Instant aNow)
+{
+  return ApplyEvent(std::move(aState), aEntropy, aNow, [&](MembershipContext& aContext) {
+    MembershipState& state = aContext.state_;
+    state.self_.departure_ = aDeparture;
+    ++state.self_.sequence_;
+    SpreadLocalRecordWidely(aContext);
+    state.resendLocalStateAt_ = aNow + kLocalStateResendInterval;
+    state.localStateResendsLeft_ = kLocalStateResends;
+  });
+}
+
 Step<MembershipState, GossipOutput>
 SetLocalVersions(MembershipState aState,
                  std::uint64_t aConfigVersion,
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -229,6 +229,13 @@
               std::uint64_t aEntropy,
               Instant aNow);
 
+/** Sets the departure in this node's record and spreads it. */
+Step<MembershipState, GossipOutput>
+SetLocalDeparture(MembershipState aState,
+                  const BackendDeparture& aDeparture,
+                  std::uint64_t aEntropy,
+                  Instant aNow);
+
 /** Sets this node's configuration version and ticket epoch, for the message header and its record.
  * Neither decreases. A higher version is sent immediately to a few members of the local domain. */
 Step<MembershipState, GossipOutput>
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -206,6 +206,15 @@
   bool operator==(const PendingInForce&) const = default;
 };
 
+/** A notice of the backend server that is acknowledged once its departure is in the store. */
+struct PendingAcknowledgement
+{
+  ExchangeId exchange_;
+  Instant deadline_;
+
+  bool operator==(const PendingAcknowledgement&) const = default;
+};
+
 /** Progress of the calls to the store, which holds the configuration and the announcements. */
 struct StoreState
 {
@@ -223,8 +232,13 @@
   /** Listings completed since the store was last unreachable, and when the last one ended. */
   std::uint32_t completedListings_ = 0;
   Instant lastListingAt_;
+  /** A listing was completed, so that the announcement of the previous process has been read. */
+  bool hasListed_ = false;
   bool announcing_ = false;
   Instant nextAnnounceAt_;
+  /** The departure in the announcement that is being written, and in the last one written. */
+  std::optional<BackendDeparture> announcingDeparture_;
+  std::optional<BackendDeparture> announcedDeparture_;
   bool reachable_ = true;
   std::uint32_t failuresInRow_ = 0;
   /** Last successful reply to any call; nullopt before the first. */
@@ -297,6 +311,7 @@
   StoreState store_;
   /** nullopt before the first heartbeat, and always with health checks. */
   std::optional<BackendInstance> backend_;
+  std::vector<PendingAcknowledgement> pendingAcknowledgements_;
   Counters counters_;
   Instant nextAdmissionAdvanceAt_;
   Instant nextMembershipAdvanceAt_;
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -144,8 +144,13 @@
   void operator()(const BackendHeartbeatReceived& aEvent)
   {
     HandleBackendHeartbeat(state_, context_, aEvent.heartbeat_);
+    AcknowledgeWhenStored(state_, context_, aEvent.exchange_);
+  }
+  void operator()(const BackendLeft& aEvent)
+  {
+    HandleBackendLeft(state_, context_, aEvent.leave_);
+    AcknowledgeWhenStored(state_, context_, aEvent.exchange_);
   }
-  void operator()(const BackendLeft& aEvent) { HandleBackendLeft(state_, context_, aEvent.leave_); }
   void operator()(const StoreCallFinished& aEvent)
   {
     HandleStoreCallFinished(state_, context_, aEvent);
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -145,6 +145,7 @@
       return;
     }
     store.completedListings_ += 1;
+    store.hasListed_ = true;
     store.lastListingAt_ = context_.now_;
     const Duration delay =
       store.completedListings_ < kListingsAfterStart ? kSecondListingDelay : kListingInterval;
@@ -153,9 +154,13 @@
 
   void operator()(const AnnouncementWritten&) const
   {
+    StoreState& store = state_.store_;
     SetStoreReachable(state_, context_, task_, true, "");
-    state_.store_.announcing_ = false;
-    state_.store_.nextAnnounceAt_ = context_.now_ + context_.random_.Jitter(kAnnounceInterval);
+    store.announcing_ = false;
+    store.announcedDeparture_ = store.announcingDeparture_;
+    store.nextAnnounceAt_ =
+      context_.now_ +
+      (IsDepartureStored(state_) ? context_.random_.Jitter(kAnnounceInterval) : Duration(0));
   }
 
   void operator()(const StoreFailed& aReply) const
@@ -207,6 +212,13 @@
   std::visit(ReplyHandler{ aState, aContext, aEvent.task_ }, aEvent.reply_);
 }
 
+bool
+IsDepartureStored(const NodeState& aState)
+{
+  return !aState.settings_.usesStore_ ||
+         aState.store_.announcedDeparture_ == aState.membership_.self_.departure_;
+}
+
 void
 AdvanceStore(NodeState& aState, ReduceContext& aContext)
 {
@@ -222,8 +234,12 @@
       StartStoreCall(aContext, ReadConfiguration{});
     }
   }
-  if (!store.announcing_ && aContext.now_ >= store.nextAnnounceAt_ && !IsDraining(aState)) {
+  // The first announcement replaces that of the previous process, whose departure must be read
+  // before. A draining node announces nothing else, so that a late write does not bring it back.
+  const bool mayAnnounce = store.hasListed_ && (!IsDraining(aState) || !IsDepartureStored(aState));
+  if (!store.announcing_ && aContext.now_ >= store.nextAnnounceAt_ && mayAnnounce) {
     store.announcing_ = true;
+    store.announcingDeparture_ = aState.membership_.self_.departure_;
     StartStoreCall(aContext, WriteAnnouncement{ aState.membership_.self_ });
   }
   if (!store.listing_ && IsListingDue(aState, aContext)) {
--- a/packages/policy/tests/BackendHeartbeatsTest.cpp
+++ b/packages/policy/tests/BackendHeartbeatsTest.cpp
@@ -55,6 +55,36 @@
   cr_expect_not(IsLeaving(again.state_), "a later incarnation has not left");
 }
 
+/** Guards against heartbeats from before a departure that a new process of the node takes for those
+ * of a new incarnation. */
+Test(backend_reports, departure_outlives_the_process)
+{
+  auto drained = ApplyHeartbeat(std::nullopt, Heartbeat("i-1", 50, 3), kNow).state_;
+  cr_expect_not(DepartureOf(drained).has_value());
+  BackendHeartbeat draining = Heartbeat("i-1", 50, 4);
+  draining.draining_ = true;
+  drained = ApplyHeartbeat(drained, draining, kNow).state_;
+  const auto left = ApplyLeave(drained, { "i-1", 50 }).state_;
+  const auto whileDraining = DepartureOf(drained);
+  const auto final = DepartureOf(left);
+  cr_expect(IsLaterDeparture(whileDraining, std::nullopt));
+  cr_expect(IsLaterDeparture(final, whileDraining) && !IsLaterDeparture(whileDraining, final));
+  const auto inUse = ApplyHeartbeat(std::nullopt, Heartbeat("i-1", 50, 3), kNow).state_;
+  const auto other = ApplyHeartbeat(std::nullopt, Heartbeat("i-2", 60, 1), kNow).state_;
+  // The departure may become known before or after the first heartbeat.
+  for (const auto& known : { std::optional<BackendInstance>{}, inUse }) {
+    const auto restored = ApplyDeparture(known, *final, kNow);
+    cr_expect(restored.result_ && IsLeaving(restored.state_));
+    cr_expect(IsLeaving(ApplyHeartbeat(restored.state_, Heartbeat("i-1", 50, 9), kNow).state_));
+    cr_expect_not(ApplyDeparture(restored.state_, *final, kNow).result_, "only once");
+    const auto again = ApplyDeparture(known, *whileDraining, kNow).state_;
+    cr_expect(IsLeaving(ApplyHeartbeat(again, Heartbeat("i-1", 50, 3), kNow).state_), "late");
+    cr_expect_not(IsLeaving(ApplyHeartbeat(again, Heartbeat("i-1", 50, 5), kNow).state_),
+                  "the backend server has taken it back since");
+  }
+  cr_expect_not(IsLeaving(ApplyDeparture(other, *final, kNow).state_), "of an earlier one");
+}
+
 Test(backend_reports, silence_and_failed_connections_end_the_use)
 {
   auto known = ApplyHeartbeat(std::nullopt, Heartbeat("i-1", 50, 3), kNow).state_;
--- a/packages/policy/tests/Session.h
+++ b/packages/policy/tests/Session.h
@@ -153,6 +153,7 @@
   // No effect here: sessions use health checks and the log service instead of heartbeats and a
   // store, and have no caller connections.
   void Perform(NodeIndex, const CloseIdleBackendConnections&) {}
+  void Perform(NodeIndex, const AcknowledgeNotice&) {}
   void Perform(NodeIndex, const CallStore&) {}
   void Perform(NodeIndex, const SetCallerLimits&) {}
   void Perform(NodeIndex, const CloseAfterReplies&) {}
--- a/packages/policy/tests/StoreSyncTest.cpp
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -25,10 +25,14 @@
 
 } // namespace
 
-/** Guards against nodes that never find each other: without seeds only the store lists them. */
+/** Guards against nodes that never find each other: without seeds only the store lists them. Also
+ * against an announcement that replaces the one of the previous process before it was read. */
 Test(store_sync, node_starts_every_store_call_at_its_start)
 {
   RoutedSimulation world(1);
+  cr_expect_eq(StoreCalls(world, StoreTask::kAnnouncement).size(), 0U);
+  world.Inject(0, StoreCallFinished{ StoreTask::kListing, AnnouncementsListed{} });
+  world.Run(kTickInterval);
   cr_expect_eq(StoreCalls(world, StoreTask::kAnnouncement).size(), 1U);
   cr_expect_geq(StoreCalls(world, StoreTask::kListing).size(), 1U);
   cr_expect_geq(StoreCalls(world, StoreTask::kConfiguration).size(), 1U);
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -130,16 +130,42 @@
            aValue.region_);
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, BackendDeparture& aValue)
+{
+  aArchive(aValue.instance_, aValue.startedAtMs_, aValue.sequence_, aValue.final_);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, MemberRecord& aValue)
 {
+  // Whether a departure follows is a bit of the state: most records have none, and records make up
+  // most of the gossip.
+  constexpr std::uint8_t kHasDeparture = 0x80;
+  auto state = static_cast<std::uint8_t>(aValue.state_);
+  state = aValue.departure_ ? state | kHasDeparture : state;
   aArchive(aValue.identity_,
            aValue.sequence_,
-           wire_detail::Checked<MemberState::kLeft>(aValue.state_),
+           state,
            aValue.ticketEpoch_,
            aValue.configVersion_,
            aValue.successor_);
+  const bool hasDeparture = (state & kHasDeparture) != 0;
+  state &= static_cast<std::uint8_t>(~kHasDeparture);
+  if (state > static_cast<std::uint8_t>(MemberState::kLeft)) {
+    throw cereal::Exception("enumeration value out of range");
+  }
+  aValue.state_ = static_cast<MemberState>(state);
+  if (hasDeparture && !aValue.departure_) {
+    aValue.departure_.emplace();
+  } else if (!hasDeparture) {
+    aValue.departure_.reset();
+  }
+  if (aValue.departure_) {
+    aArchive(*aValue.departure_);
+  }
 }
 
 template<class Archive>
