Record the leave of an incarnation that has sent no heartbeat yet

A backend server that deregistered while its node restarted got an acknowledgement, and a late heartbeat brought it back into use: its node would have sent it requests after drainS (rule DRAIN).

Cause: ApplyLeave() marked the current incarnation only. With none, or with an earlier one, the notice was dropped, but acknowledged all the same.

Change: a notice of a later incarnation than the current one, or of any while there is none, makes that incarnation the current one, as left. One without a start time still ends a known incarnation of that id only.

backend_reports::leave_before_the_first_heartbeat_holds failed before.

--- a/packages/policy/BackendHeartbeats.cpp
+++ b/packages/policy/BackendHeartbeats.cpp
@@ -55,15 +55,21 @@
 }
 
 Step<std::optional<BackendInstance>, bool>
-ApplyLeave(std::optional<BackendInstance> aCurrent, const BackendLeave& aLeave)
+ApplyLeave(std::optional<BackendInstance> aCurrent, const BackendLeave& aLeave, Instant aNow)
 {
   const bool isFromCurrent =
     aCurrent && aCurrent->heartbeat_.instance_ == aLeave.instance_ &&
     (aLeave.startedAtMs_ == 0 || aLeave.startedAtMs_ == aCurrent->heartbeat_.startedAtMs_);
-  if (isFromCurrent) {
+  // With a current incarnation, a notice without a start time could be from an earlier one.
+  const bool isFromLater =
+    !isFromCurrent && (!aCurrent || aLeave.startedAtMs_ > aCurrent->heartbeat_.startedAtMs_);
+  if (isFromLater) {
+    aCurrent = MakeUnseenInstance(aLeave.instance_, aLeave.startedAtMs_, aNow);
+  }
+  if (isFromCurrent || isFromLater) {
     aCurrent->hasLeft_ = true;
   }
-  return { std::move(aCurrent), isFromCurrent };
+  return { std::move(aCurrent), isFromCurrent || isFromLater };
 }
 
 std::optional<BackendDeparture>
--- a/packages/policy/BackendHeartbeats.h
+++ b/packages/policy/BackendHeartbeats.h
@@ -43,9 +43,11 @@
                const BackendHeartbeat& aHeartbeat,
                Instant aNow);
 
-/** Marks the current incarnation as leaving. Returns false when the message is from another one. */
+/** Marks the incarnation that sent the notice as left. It need not be known: the first message of
+ * an incarnation to this process may be its leave. Returns false when the notice is from an earlier
+ * incarnation. */
 Step<std::optional<BackendInstance>, bool>
-ApplyLeave(std::optional<BackendInstance> aCurrent, const BackendLeave& aLeave);
+ApplyLeave(std::optional<BackendInstance> aCurrent, const BackendLeave& aLeave, Instant aNow);
 
 /** The departure of the current incarnation; nullopt while it does not leave. */
 std::optional<BackendDeparture>
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -346,7 +346,7 @@
 HandleBackendLeft(NodeState& aState, ReduceContext& aContext, const BackendLeave& aLeave)
 {
   const auto departureBefore = DepartureOf(aState.backend_);
-  if (Apply(aState.backend_, ApplyLeave(std::move(aState.backend_), aLeave))) {
+  if (Apply(aState.backend_, ApplyLeave(std::move(aState.backend_), aLeave, aContext.now_))) {
     aContext.effects_.push_back(LogLine{ "backend_leaves", { { "instance", aLeave.instance_ } } });
     RecordDeparture(aState, aContext, departureBefore);
     UpdateDrain(aState, aContext);
--- a/packages/policy/tests/BackendHeartbeatsTest.cpp
+++ b/packages/policy/tests/BackendHeartbeatsTest.cpp
@@ -46,15 +46,30 @@
 Test(backend_reports, leave_of_an_earlier_incarnation_is_ignored)
 {
   const auto known = ApplyHeartbeat(std::nullopt, Heartbeat("i-1", 50, 3), kNow).state_;
-  cr_expect_not(IsLeaving(ApplyLeave(known, { "i-0", 0 }).state_), "another id");
-  cr_expect_not(IsLeaving(ApplyLeave(known, { "i-1", 40 }).state_), "an earlier start");
-  cr_expect(IsLeaving(ApplyLeave(known, { "i-1", 50 }).state_));
-  cr_expect(IsLeaving(ApplyLeave(known, { "i-1", 0 }).state_), "no start given");
+  cr_expect_not(IsLeaving(ApplyLeave(known, { "i-0", 0 }, kNow).state_), "another id");
+  cr_expect_not(IsLeaving(ApplyLeave(known, { "i-1", 40 }, kNow).state_), "an earlier start");
+  cr_expect(IsLeaving(ApplyLeave(known, { "i-1", 50 }, kNow).state_));
+  cr_expect(IsLeaving(ApplyLeave(known, { "i-1", 0 }, kNow).state_), "no start given");
   const auto again =
-    ApplyHeartbeat(ApplyLeave(known, { "i-1", 50 }).state_, Heartbeat("i-1", 60, 1), kNow);
+    ApplyHeartbeat(ApplyLeave(known, { "i-1", 50 }, kNow).state_, Heartbeat("i-1", 60, 1), kNow);
   cr_expect_not(IsLeaving(again.state_), "a later incarnation has not left");
 }
 
+/** Guards against a leave that is acknowledged and forgotten, since the incarnation that sent it
+ * has sent no heartbeat to this process. */
+Test(backend_reports, leave_before_the_first_heartbeat_holds)
+{
+  const auto earlier = ApplyHeartbeat(std::nullopt, Heartbeat("i-0", 40, 3), kNow).state_;
+  for (const auto& known : { std::optional<BackendInstance>{}, earlier }) {
+    const auto [left, isApplied] = ApplyLeave(known, { "i-1", 50 }, kNow);
+    cr_expect(isApplied && IsLeaving(left));
+    cr_expect_not(IsUsable(left, kNow));
+    cr_expect(IsLeaving(ApplyHeartbeat(left, Heartbeat("i-1", 50, 9), kNow).state_));
+    const auto next = ApplyHeartbeat(left, Heartbeat("i-1", 60, 1), kNow).state_;
+    cr_expect(IsUsable(next, kNow) && !IsLeaving(next), "a later incarnation is used");
+  }
+}
+
 /** Guards against heartbeats from before a departure that a new process of the node takes for those
  * of a new incarnation. */
 Test(backend_reports, departure_outlives_the_process)
@@ -64,7 +79,7 @@
   BackendHeartbeat draining = Heartbeat("i-1", 50, 4);
   draining.draining_ = true;
   drained = ApplyHeartbeat(drained, draining, kNow).state_;
-  const auto left = ApplyLeave(drained, { "i-1", 50 }).state_;
+  const auto left = ApplyLeave(drained, { "i-1", 50 }, kNow).state_;
   const auto whileDraining = DepartureOf(drained);
   const auto final = DepartureOf(left);
   cr_expect(IsLaterDeparture(whileDraining, std::nullopt));
