Give up a backend server that sends answers to other requests without end

http_client::bytes_without_end_end_the_request sends twelve kinds of them to the client. Eleven ended the request at the limits of head and body before any change: no line end, no head, empty lines, line ends without CR, header fields, one endless field, a body without a length, chunks, a chunk extension, trailers, interim answers. Memory over all connections was bounded already (http_client::incomplete_answers_share_one_bound).

The twelfth did not: complete answers to another request were skipped one by one until the deadline of the request. They took no memory, but the processor and the slot. The client now gives up after 16 of them; the request may have run.

Before: open after 38,760 bytes, the bound of the test. After: passes.

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/** Late answers to earlier requests that are skipped while a request waits for its own. A faulty
+ * server may write them without end. */
+constexpr std::uint32_t kMaxStaleAnswers = 16;
+
 /** Whether the answer belongs to another request. */
 bool
 IsStaleAnswer(const std::optional<ExpectedEcho>& aEcho, const Poco::Net::HTTPResponse& aHead)
@@ -50,7 +54,7 @@
 HttpClient::Connect()
 {
   const std::uint64_t id = nextId_++;
-  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, {}, false, false, {}, {} };
+  Connection connection{ TcpChannel(settings_.address_), {}, {}, 0, {}, {}, 0, false, {}, {} };
   poller_.Add({ settings_.role_, id }, connection.channel_.Socket());
   connections_.emplace(id, std::move(connection));
   return id;
@@ -211,7 +215,11 @@
   ResponseProgress& progress = connection.progress_;
   auto parsed = ContinueHttpResponse(connection.input_, settings_.maxBodyBytes_, progress);
   while (parsed && *parsed && IsStaleAnswer(connection.echo_, (*parsed)->head_)) {
-    connection.receivedStaleAnswer_ = true;
+    if (++connection.staleAnswers_ > kMaxStaleAnswers) {
+      spdlog::warn("event=answers_to_other_requests count={}", connection.staleAnswers_);
+      Fail(aId);
+      return;
+    }
     parsed = ContinueHttpResponse(connection.input_, settings_.maxBodyBytes_, progress);
   }
   if (!parsed) {
@@ -229,7 +237,7 @@
   }
   const bool keepsAlive = (*parsed)->head_.getKeepAlive() && connection.input_.empty() &&
                           connection.channel_.PendingBytes() == 0 &&
-                          !connection.receivedStaleAnswer_ &&
+                          connection.staleAnswers_ == 0 &&
                           connection.carriedEchoes_.size() < kMaxRequestsPerConnection;
   AddAnswer(connection, std::move(**parsed));
   connection.idleSince_ = aNow;
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -102,9 +102,9 @@
     std::optional<ExpectedEcho> echo_ = {};
     /** Hashes of the echo values of all requests on the connection. */
     std::vector<std::size_t> carriedEchoes_ = {};
-    /** A late answer to an earlier request has arrived; the connection is closed after the current
-     * request. */
-    bool receivedStaleAnswer_ = false;
+    /** Answers to other requests that have arrived. After the first one the connection is closed
+     * with the current request. */
+    std::uint32_t staleAnswers_ = 0;
     /** An earlier request on the connection was answered. */
     bool hasAnswered_ = false;
     Instant deadline_;
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -466,6 +466,56 @@
   }
 }
 
+/** Guards against a server that sends bytes without end: they must neither take the memory of the
+ * VM nor hold the request until its deadline. */
+Test(http_client, bytes_without_end_end_the_request)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: one\r\n";
+  const struct
+  {
+    const char* name_;
+    std::string start_;
+    std::string repeated_;
+  } cases[] = {
+    { "no line end", "HTTP/1.1 200 ", "x" },
+    { "nothing of a head", "", "\x01\x02" },
+    { "empty lines", "", "\r\n" },
+    { "line ends without CR", head, "X: y\n" },
+    { "header fields", head, "X: y\r\n" },
+    { "one header field", head + "X: ", "y" },
+    { "body without a length", head + "\r\n", "xyz" },
+    { "chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n" },
+    { "chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "e" },
+    { "trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n" },
+    { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "answers to another request",
+      "",
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nab" },
+  };
+  constexpr std::size_t kBytesPerTurn = 2000;
+  constexpr std::size_t kMaxBytes = kMaxBody + 2 * kMaxHeaderBytes + 2 * kBytesPerTurn;
+  for (const auto& row : cases) {
+    Client client;
+    client.Send(1, ExpectedEcho{ "Id", "one" });
+    const auto server = client.AcceptRequest(1);
+    std::string text = row.start_;
+    std::size_t sent = 0;
+    while (client.results_.empty() && sent <= kMaxBytes) {
+      while (text.size() < kBytesPerTurn) {
+        text += row.repeated_;
+      }
+      server->Send(text);
+      sent += text.size();
+      text.clear();
+      client.Settle();
+      cr_assert_leq(client.client_.BufferedBytes(), kMaxBytes, "%s", row.name_);
+    }
+    cr_assert_eq(client.results_.size(), 1U, "%s: open after %zu bytes", row.name_, sent);
+    cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kLost, "%s", row.name_);
+    cr_expect(client.RunUntil([&] { return server->IsClosed(); }), "%s", row.name_);
+  }
+}
+
 /** Guards against incomplete answers without end that together take the memory of the VM, although
  * each is within its limit. */
 Test(http_client, incomplete_answers_share_one_bound)
