Do not count failed connections against a later incarnation

Three connections in a row that cannot be opened make a backend server count as lost until its next heartbeat. Those of requests that were started for an earlier incarnation, and that failed after the next one had reported, counted against the next one: it got no requests for up to a heartbeat interval.

Change: HandleBackendFailed() counts only failures of requests that started after the first heartbeat of the current incarnation, as UseSignals() does for signals.

routed_calls::failed_connections_to_an_earlier_incarnation_do_not_count failed before.

--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -82,8 +82,8 @@
 }
 
 /** Offers an idempotent request again that the backend server refused although it has a free slot.
- * For others, a late copy of the refusal could be taken for the answer to the second offer. Returns
- * whether it did so. */
+ * Others are offered again only by their entry node, within its retry budget. Returns whether it
+ * did so. */
 bool
 OfferAgain(NodeState& aState, ReduceContext& aContext, RequestId aId)
 {
@@ -316,15 +316,21 @@
   }
 }
 
-/** Applies what the backend server asks for in an answer. Answers to requests that started before
- * its current incarnation are from an earlier one. */
+/** Whether the request was sent to an earlier incarnation of the backend server. */
+bool
+IsOfEarlierIncarnation(const NodeState& aState, const InboundRequest& aRequest)
+{
+  return aState.backend_ && aRequest.startedAt_ < aState.backend_->firstHeartbeatAt_;
+}
+
+/** Applies what the backend server asks for in an answer. */
 void
 UseSignals(NodeState& aState,
            ReduceContext& aContext,
            const InboundRequest& aRequest,
            const BackendSignals& aSignals)
 {
-  if (aState.backend_ && aRequest.startedAt_ < aState.backend_->firstHeartbeatAt_) {
+  if (IsOfEarlierIncarnation(aState, aRequest)) {
     return;
   }
   const auto limit = aSignals.maxRequestsPerSecond_;
@@ -498,15 +504,19 @@
 void
 HandleBackendFailed(NodeState& aState, ReduceContext& aContext, const BackendFailed& aEvent)
 {
-  if (!aState.inbound_.requests_.contains(aEvent.request_)) {
+  const auto found = aState.inbound_.requests_.find(aEvent.request_);
+  if (found == aState.inbound_.requests_.end()) {
     return;
   }
+  const bool isOfEarlier = IsOfEarlierIncarnation(aState, found->second);
   aState.counters_.Add(CounterId::kBackendFailures);
   if (aEvent.written_) {
     EndMayHaveRun(aState, aContext, aEvent.request_, Reason::kBackendLost);
   } else {
     EndStartedNotRun(aState, aContext, aEvent.request_, Reason::kBackendUnreachable);
-    RecordFailedConnect(aState, aContext);
+    if (!isOfEarlier) {
+      RecordFailedConnect(aState, aContext);
+    }
   }
   FinishAdmission(aState, aContext, aEvent.request_, CompletionKind::kFailed);
 }
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -209,6 +209,29 @@
   cr_expect_not(simulation.nodes_[0].admission_.startRate_.perSecond_.has_value());
 }
 
+/** Guards against connections to an earlier incarnation that could not be opened and count against
+ * the current one, which then gets no requests. */
+Test(routed_calls, failed_connections_to_an_earlier_incarnation_do_not_count)
+{
+  for (const bool isReplaced : { true, false }) {
+    RoutedSimulation simulation(1);
+    for (std::uint32_t i = 0; i < kFailedConnectsUntilLost; ++i) {
+      simulation.SendRequest(0, "/safe/1");
+    }
+    const auto requests = simulation.BackendRequests();
+    cr_assert_eq(requests.size(), kFailedConnectsUntilLost);
+    simulation.sendsHeartbeats_ = false;
+    simulation.Run(std::chrono::milliseconds(20));
+    BackendHeartbeat next = MakeRoutedHeartbeat(1000);
+    next.startedAtMs_ += isReplaced ? 1 : 0;
+    simulation.Inject(0, BackendHeartbeatReceived{ next });
+    for (const auto& [node, request] : requests) {
+      simulation.Inject(node, BackendFailed{ request.id_, false });
+    }
+    cr_expect_eq(IsUsable(simulation.nodes_[0].backend_, simulation.now_), isReplaced);
+  }
+}
+
 /** Guards against a stop that refuses connections while callers are still directed to the node, or
  * that does not end before the node is killed. */
 Test(routed_calls, stopping_node_takes_connections_until_callers_are_elsewhere)
