Ignore heartbeats from before a recorded departure, and do not drain for it

A restarted node took a recorded departure as if its process had seen it, so it announced a drain until the next heartbeat, also where a later backend server was in use on its VM: no node sent requests to that one meanwhile.

It drains only when it finds the departure after it has taken the backend server into use.

--- a/packages/policy/BackendHeartbeats.cpp
+++ b/packages/policy/BackendHeartbeats.cpp
@@ -95,11 +95,24 @@
          std::tie(aRight->startedAtMs_, aRight->final_, aRight->sequence_);
 }
 
+bool
+IsBeforeDeparture(const BackendHeartbeat& aHeartbeat, const BackendDeparture& aDeparture)
+{
+  if (aHeartbeat.startedAtMs_ != aDeparture.startedAtMs_) {
+    return aHeartbeat.startedAtMs_ < aDeparture.startedAtMs_;
+  }
+  return aHeartbeat.instance_ == aDeparture.instance_ &&
+         (aDeparture.final_ || aHeartbeat.sequence_ <= aDeparture.sequence_);
+}
+
 Step<std::optional<BackendInstance>, bool>
 ApplyDeparture(std::optional<BackendInstance> aCurrent,
                const BackendDeparture& aDeparture,
                Instant aNow)
 {
+  if (!aCurrent) {
+    return { std::move(aCurrent), false };
+  }
   if (IsLaterIncarnation(aCurrent, aDeparture.instance_, aDeparture.startedAtMs_)) {
     aCurrent = MakeUnseenInstance(aDeparture.instance_, aDeparture.startedAtMs_, aNow);
   }
--- a/packages/policy/BackendHeartbeats.h
+++ b/packages/policy/BackendHeartbeats.h
@@ -58,8 +58,13 @@
 IsLaterDeparture(const std::optional<BackendDeparture>& aLeft,
                  const std::optional<BackendDeparture>& aRight);
 
-/** Applies a departure that an earlier process of the node recorded. Returns whether the current
- * incarnation leaves by it and did not before. */
+/** Whether the heartbeat is of the departed incarnation, from before the departure, or of an
+ * earlier incarnation. */
+bool
+IsBeforeDeparture(const BackendHeartbeat& aHeartbeat, const BackendDeparture& aDeparture);
+
+/** Applies a departure that an earlier process of the node recorded to the incarnation that this
+ * process already uses. Returns whether it leaves by it and did not before. */
 Step<std::optional<BackendInstance>, bool>
 ApplyDeparture(std::optional<BackendInstance> aCurrent,
                const BackendDeparture& aDeparture,
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -138,7 +138,8 @@
   aState.store_.nextAnnounceAt_ = aContext.now_;
 }
 
-/** Applies the departure that an earlier process recorded. Its grace time counted from then and is
+/** Applies a departure that an earlier process recorded, and that this one reads only after it has
+ * taken the backend server into use. Its grace time counted from then and is
  * over: no node has sent requests to this process yet. */
 void
 RestoreDeparture(NodeState& aState, ReduceContext& aContext)
@@ -314,6 +315,15 @@
     return;
   }
   RestoreDeparture(aState, aContext);
+  const auto& recorded = aState.membership_.self_.departure_;
+  if (!aState.backend_ && recorded && IsBeforeDeparture(aHeartbeat, *recorded)) {
+    aContext.effects_.push_back(
+      LogLine{ "backend_report_outdated",
+               { { "instance", aHeartbeat.instance_ },
+                 { "started_ms", std::to_string(aHeartbeat.startedAtMs_) },
+                 { "departed_started_ms", std::to_string(recorded->startedAtMs_) } } });
+    return;
+  }
   const auto departureBefore = DepartureOf(aState.backend_);
   const HeartbeatVerdict verdict =
     Apply(aState.backend_, ApplyHeartbeat(std::move(aState.backend_), aHeartbeat, aContext.now_));
