Call the hash and the urgent spread that the project already had

HttpClient hashed ids with std::hash where StableHash() exists. SetLocalDeparture() copied the three lines with which SetLocalState() spreads an urgent record and schedules its repetition: both call SpreadUrgentLocalRecord() now.

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -1,8 +1,9 @@
 #include "node/HttpClient.h"
 
+#include "model/Ids.h"
+
 #include <Poco/Exception.h>
 #include <algorithm>
-#include <functional>
 #include <spdlog/spdlog.h>
 
 namespace fulmarway {
@@ -29,17 +30,12 @@
   return aEcho && aHasAnsweredBefore && !aHead.has(aEcho->name_);
 }
 
-std::size_t
-HashOf(const ExpectedEcho& aEcho)
-{
-  return std::hash<std::string>{}(aEcho.value_);
-}
-
 /** With equal hashes of different values, another connection is used, which does no harm. */
 bool
-HasCarried(const std::vector<std::size_t>& aCarried, const std::optional<ExpectedEcho>& aEcho)
+HasCarried(const std::vector<std::uint64_t>& aCarried, const std::optional<ExpectedEcho>& aEcho)
 {
-  return aEcho && std::find(aCarried.begin(), aCarried.end(), HashOf(*aEcho)) != aCarried.end();
+  return aEcho &&
+         std::find(aCarried.begin(), aCarried.end(), StableHash(aEcho->value_)) != aCarried.end();
 }
 
 } // namespace
@@ -105,7 +101,7 @@
   connection.writtenBefore_ = connection.channel_.BytesWritten();
   connection.deadline_ = aDeadline;
   if (aEcho) {
-    connection.carriedEchoes_.push_back(HashOf(*aEcho));
+    connection.carriedEchoes_.push_back(StableHash(aEcho->value_));
   }
   connection.echo_ = std::move(aEcho);
   byToken_.insert_or_assign(aToken, id);
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -101,7 +101,7 @@
     std::uint64_t writtenBefore_ = 0;
     std::optional<ExpectedEcho> echo_ = {};
     /** Hashes of the echo values of all requests on the connection. */
-    std::vector<std::size_t> carriedEchoes_ = {};
+    std::vector<std::uint64_t> carriedEchoes_ = {};
     /** Answers to other requests that have arrived. After the first one the connection is closed
      * with the current request. */
     std::uint32_t staleAnswers_ = 0;
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -180,6 +180,15 @@
   }
 }
 
+/** Spreads a change that all nodes need soon, and schedules its repetition. */
+void
+SpreadUrgentLocalRecord(MembershipContext& aContext)
+{
+  SpreadLocalRecordWidely(aContext);
+  aContext.state_.resendLocalStateAt_ = aContext.now_ + kLocalStateResendInterval;
+  aContext.state_.localStateResendsLeft_ = kLocalStateResends;
+}
+
 void
 ResendLocalState(MembershipContext& aContext)
 {
@@ -306,9 +315,7 @@
     state.self_.successor_ = aSuccessor;
     ++state.self_.sequence_;
     if (aNewState == MemberState::kDraining || aNewState == MemberState::kLeft) {
-      SpreadLocalRecordWidely(aContext);
-      state.resendLocalStateAt_ = aNow + kLocalStateResendInterval;
-      state.localStateResendsLeft_ = kLocalStateResends;
+      SpreadUrgentLocalRecord(aContext);
     } else {
       SpreadLocalRecord(aContext);
     }
@@ -325,9 +332,7 @@
     MembershipState& state = aContext.state_;
     state.self_.departure_ = aDeparture;
     ++state.self_.sequence_;
-    SpreadLocalRecordWidely(aContext);
-    state.resendLocalStateAt_ = aNow + kLocalStateResendInterval;
-    state.localStateResendsLeft_ = kLocalStateResends;
+    SpreadUrgentLocalRecord(aContext);
   });
 }
 
