Log the era of the store and show it as a metric

Cause: nothing in the logs told a store that has returned from an older copy from one that was only away, so the hypotheses of the incident could not be told apart. An answer that names a higher era is logged with the position of the next read and the configuration version in force (store_era). No decision depends on it yet. A header that is not a number is logged and ignored.

--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -148,6 +148,9 @@
   add("backend_healthy", "Whether the backend server answers", aState.lifecycle_.backendHealthy_);
   add("log_reachable", "Whether the log service answers", aState.control_.logReachable_);
   add("store_reachable", "Whether the store answers", aState.store_.reachable_);
+  add("store_era",
+      "Times that the store has returned from an older copy, as it counts them",
+      aState.store_.era_.value_or(0));
   add("caller_connections", "Open connections of callers", aLoop.callerConnections_);
 }
 
--- a/packages/node/NodeInterface.h
+++ b/packages/node/NodeInterface.h
@@ -67,6 +67,11 @@
                            const StoreRequest& aRequest,
                            const HttpResponseMessage& aMessage)>
     parseReply_;
+  /** The era of the store that an answer of any status names, see StoreCallFinished::era_; nullopt
+   * if it names none. */
+  std::function<tl::expected<std::optional<std::uint64_t>, UserError>(
+    const HttpResponseMessage& aMessage)>
+    parseEra_;
 };
 
 struct NodeInterface
--- a/packages/node/NodeStore.cpp
+++ b/packages/node/NodeStore.cpp
@@ -49,12 +49,21 @@
     storeCallsInFlight_.erase(task);
     StoreReply reply =
       StoreFailed{ result.outcome_ == ExchangeOutcome::kNotSent ? "not sent" : "no answer" };
+    std::optional<std::uint64_t> era;
     if (result.response_) {
       counters_.controlBytesReceived_ += result.response_->body_.size();
       reply =
         interface_.store_->parseReply_(settings_.node_.clusterKey_, request, *result.response_);
+      const auto parsedEra = interface_.store_->parseEra_(*result.response_);
+      if (parsedEra) {
+        era = *parsedEra;
+      } else {
+        spdlog::warn("event=store_era_unreadable subject=\"{}\" error=\"{}\"",
+                     parsedEra.error().subject_,
+                     parsedEra.error().message_);
+      }
     }
-    queue_.push_back(StoreCallFinished{ task, std::move(reply) });
+    queue_.push_back(StoreCallFinished{ task, std::move(reply), era });
   }
 }
 
--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -49,8 +49,8 @@
 const std::set<std::string> kGauges = {
   "admission_level",   "backend_healthy", "backend_rate_limit", "caller_connections",
   "concurrency_limit", "config_version",  "log_reachable",      "members",
-  "outbound_calls",    "queued_requests", "running_requests",   "store_reachable",
-  "tickets",
+  "outbound_calls",    "queued_requests", "running_requests",   "store_era",
+  "store_reachable",   "tickets",
 };
 
 struct Scrape
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -128,6 +128,9 @@
 {
   StoreTask task_ = StoreTask::kConfiguration;
   StoreReply reply_;
+  /** Era of the store that answered. It rises when the store returns from an older copy and has
+   * lost what it acknowledged since. nullopt without an answer, or if the answer names no era. */
+  std::optional<std::uint64_t> era_ = {};
 
   bool operator==(const StoreCallFinished&) const = default;
 };
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -218,6 +218,8 @@
 /** Progress of the calls to the store, which holds the configuration and the announcements. */
 struct StoreState
 {
+  /** Highest era of the store that an answer has named; nullopt before the first. */
+  std::optional<std::uint64_t> era_;
   bool readingConfiguration_ = false;
   Instant nextConfigurationReadAt_;
   /** AwaitConfiguration::from_ of the next call; nullopt when the newest configuration must be read
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -104,6 +104,26 @@
                                          { "since_reply_us", std::to_string(silence.count()) } } });
 }
 
+/** Records the era of the store that answered a call. */
+void
+RecordEra(NodeState& aState, ReduceContext& aContext, std::uint64_t aEra)
+{
+  StoreState& store = aState.store_;
+  if (store.era_ && aEra <= *store.era_) {
+    return;
+  }
+  const auto print = [](const std::optional<std::uint64_t>& aNumber) {
+    return aNumber ? std::to_string(*aNumber) : std::string("none");
+  };
+  aContext.effects_.push_back(
+    LogLine{ "store_era",
+             { { "era", std::to_string(aEra) },
+               { "previous", print(store.era_) },
+               { "position", print(store.nextChange_) },
+               { "config_version", std::to_string(ConfigOf(aState).version_) } } });
+  store.era_ = aEra;
+}
+
 struct ReplyHandler
 {
   NodeState& state_;
@@ -209,6 +229,9 @@
 void
 HandleStoreCallFinished(NodeState& aState, ReduceContext& aContext, const StoreCallFinished& aEvent)
 {
+  if (aEvent.era_) {
+    RecordEra(aState, aContext, *aEvent.era_);
+  }
   std::visit(ReplyHandler{ aState, aContext, aEvent.task_ }, aEvent.reply_);
 }
 
