Read the newest configuration after the store has returned from a copy

What callers saw: requests handled by a configuration that was older than an acknowledged one (CONFIG), for as long as no further change came.

Cause: the position of the next read counts records that the store has lost. Offsets are given out again, so once as many records were written as were lost, the node waited from the end and skipped the newest change. A read from beyond the end gets 410, which hid this whenever fewer were written.

Class: a value taken from the store that outlives the copy it came from.

Change: a position counts only in the era in which its read was started and answered, and not after a failed read, since a read that waits at the returned store has no answer that could name the era. Ruled out: comparing the end with the position (they may be equal), and a bound on the wait (peers' reads wait behind the same record).

A failed read costs one read of the newest more.

--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -220,10 +220,12 @@
 {
   /** Highest era of the store that an answer has named; nullopt before the first. */
   std::optional<std::uint64_t> era_;
+  /** For each call in flight, `era_` when it was started. */
+  std::map<StoreTask, std::optional<std::uint64_t>> callEras_;
   bool readingConfiguration_ = false;
   Instant nextConfigurationReadAt_;
-  /** AwaitConfiguration::from_ of the next call; nullopt when the newest configuration must be read
-   * first. */
+  /** AwaitConfiguration::from_ of the next call, a position in `era_`; nullopt when the newest
+   * configuration must be read first. */
   std::optional<std::uint64_t> nextChange_;
   /** The last read ended without a change, so the reads of the failure domain are spaced. */
   bool isReadSpaced_ = false;
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -104,7 +104,8 @@
                                          { "since_reply_us", std::to_string(silence.count()) } } });
 }
 
-/** Records the era of the store that answered a call. */
+/** Records the era of the store that answered a call. Positions of an earlier era are given out
+ * again, so the newest configuration must be read. */
 void
 RecordEra(NodeState& aState, ReduceContext& aContext, std::uint64_t aEra)
 {
@@ -122,6 +123,18 @@
                { "position", print(store.nextChange_) },
                { "config_version", std::to_string(ConfigOf(aState).version_) } } });
   store.era_ = aEra;
+  store.nextChange_.reset();
+}
+
+/** Whether the call was started and answered in the current era, so that what it says about the
+ * content of the store holds. A call from before the first answer was started in that era. */
+bool
+IsOfCurrentEra(const StoreState& aStore, const StoreCallFinished& aEvent)
+{
+  const auto startedIn = aStore.callEras_.find(aEvent.task_);
+  const bool isStartedInIt =
+    startedIn == aStore.callEras_.end() || !startedIn->second || startedIn->second == aStore.era_;
+  return isStartedInIt && (!aEvent.era_ || aEvent.era_ == aStore.era_);
 }
 
 struct ReplyHandler
@@ -129,13 +142,14 @@
   NodeState& state_;
   ReduceContext& context_;
   StoreTask task_;
+  bool isOfCurrentEra_ = true;
 
   void operator()(const ConfigurationRead& aReply) const
   {
     StoreState& store = state_.store_;
     SetStoreReachable(state_, context_, task_, true, "");
     store.readingConfiguration_ = false;
-    store.nextChange_ = aReply.next_;
+    store.nextChange_ = isOfCurrentEra_ ? aReply.next_ : std::nullopt;
     store.isReadSpaced_ = !aReply.configuration_.has_value();
     store.nextConfigurationReadAt_ = context_.now_;
     if (aReply.undecodable_ > 0) {
@@ -192,6 +206,9 @@
       case StoreTask::kConfiguration:
         store.readingConfiguration_ = false;
         store.isReadSpaced_ = false;
+        // The store may have returned from a copy, and a read from a position that it has given out
+        // again waits without an answer that names the era.
+        store.nextChange_.reset();
         store.nextConfigurationReadAt_ = next;
         break;
       case StoreTask::kListing:
@@ -207,8 +224,9 @@
 };
 
 void
-StartStoreCall(ReduceContext& aContext, StoreRequest aRequest)
+StartStoreCall(NodeState& aState, ReduceContext& aContext, StoreRequest aRequest)
 {
+  aState.store_.callEras_[TaskOf(aRequest)] = aState.store_.era_;
   aContext.effects_.push_back(CallStore{ std::move(aRequest) });
 }
 
@@ -232,7 +250,9 @@
   if (aEvent.era_) {
     RecordEra(aState, aContext, *aEvent.era_);
   }
-  std::visit(ReplyHandler{ aState, aContext, aEvent.task_ }, aEvent.reply_);
+  const bool isOfCurrentEra = IsOfCurrentEra(aState.store_, aEvent);
+  aState.store_.callEras_.erase(aEvent.task_);
+  std::visit(ReplyHandler{ aState, aContext, aEvent.task_, isOfCurrentEra }, aEvent.reply_);
 }
 
 bool
@@ -252,9 +272,10 @@
   if (!store.readingConfiguration_ && aContext.now_ >= store.nextConfigurationReadAt_) {
     store.readingConfiguration_ = true;
     if (store.nextChange_) {
-      StartStoreCall(aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState) });
+      StartStoreCall(
+        aState, aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState) });
     } else {
-      StartStoreCall(aContext, ReadConfiguration{});
+      StartStoreCall(aState, aContext, ReadConfiguration{});
     }
   }
   // The first announcement replaces that of the previous process, whose departure must be read
@@ -263,11 +284,11 @@
   if (!store.announcing_ && aContext.now_ >= store.nextAnnounceAt_ && mayAnnounce) {
     store.announcing_ = true;
     store.announcingDeparture_ = aState.membership_.self_.departure_;
-    StartStoreCall(aContext, WriteAnnouncement{ aState.membership_.self_ });
+    StartStoreCall(aState, aContext, WriteAnnouncement{ aState.membership_.self_ });
   }
   if (!store.listing_ && IsListingDue(aState, aContext)) {
     store.listing_ = true;
-    StartStoreCall(aContext, ListAnnouncements{ store.listAfter_ });
+    StartStoreCall(aState, aContext, ListAnnouncements{ store.listAfter_ });
   }
 }
 
