Announce and list again after the store has returned from a copy

What callers would see: a backend server that had left is in use again after a restart of its node; a new node is not found for up to 30 s.

Cause: a node took its announcement, the departure in it and the list of nodes for stored once they were written or read. The store loses them when it returns from a copy. They were renewed only after a failed call or 60 s, and a draining node did not write its departure a second time at all.

Change: a higher era makes a listing from the first page and an announcement due, and the departure counts as not stored. A write or listing that was started or answered in another era does not count.

--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -76,6 +76,16 @@
   return aState.store_.isReadSpaced_ ? period : period * (position.rank_ + 1) / position.nodes_;
 }
 
+/** Reads the list of nodes from its first page and writes the announcement of this node again. */
+void
+RestartListingAndAnnounce(StoreState& aStore, Instant aNow)
+{
+  aStore.completedListings_ = 0;
+  aStore.listAfter_.clear();
+  aStore.nextListAt_ = aNow;
+  aStore.nextAnnounceAt_ = aNow;
+}
+
 void
 SetStoreReachable(NodeState& aState,
                   ReduceContext& aContext,
@@ -94,9 +104,7 @@
   }
   store.reachable_ = aReachable;
   if (aReachable) {
-    store.completedListings_ = 0;
-    store.nextListAt_ = aContext.now_;
-    store.nextAnnounceAt_ = std::min(store.nextAnnounceAt_, aContext.now_);
+    RestartListingAndAnnounce(store, aContext.now_);
   }
   aContext.effects_.push_back(LogLine{ aReachable ? "store_regained" : "store_lost",
                                        { { "task", std::string(ToString(aTask)) },
@@ -105,7 +113,8 @@
 }
 
 /** Records the era of the store that answered a call. Positions of an earlier era are given out
- * again, so the newest configuration must be read. */
+ * again, so the newest configuration must be read. Announcements may be lost, also that of this
+ * node with its departure. */
 void
 RecordEra(NodeState& aState, ReduceContext& aContext, std::uint64_t aEra)
 {
@@ -122,6 +131,10 @@
                { "previous", print(store.era_) },
                { "position", print(store.nextChange_) },
                { "config_version", std::to_string(ConfigOf(aState).version_) } } });
+  if (store.era_) {
+    RestartListingAndAnnounce(store, aContext.now_);
+    store.announcedDeparture_.reset();
+  }
   store.era_ = aEra;
   store.nextChange_.reset();
 }
@@ -166,7 +179,6 @@
     StoreState& store = state_.store_;
     SetStoreReachable(state_, context_, task_, true, "");
     store.listing_ = false;
-    store.listAfter_ = aReply.continueAfter_.value_or("");
     for (const MemberRecord& member : aReply.members_) {
       ApplyGossipOutput(
         state_,
@@ -174,6 +186,10 @@
         Apply(state_.membership_,
               HandleAnnouncement(std::move(state_.membership_), member, context_.now_)));
     }
+    if (!isOfCurrentEra_) {
+      return; // RecordEra() has made a listing due that starts at the first page.
+    }
+    store.listAfter_ = aReply.continueAfter_.value_or("");
     if (aReply.continueAfter_) {
       store.nextListAt_ = context_.now_;
       return;
@@ -191,6 +207,9 @@
     StoreState& store = state_.store_;
     SetStoreReachable(state_, context_, task_, true, "");
     store.announcing_ = false;
+    if (!isOfCurrentEra_) {
+      return; // RecordEra() has made another announcement due.
+    }
     store.announcedDeparture_ = store.announcingDeparture_;
     store.nextAnnounceAt_ =
       context_.now_ +
