Ask a peer for the departure that a returned store has lost

What callers would see: a backend server that had left gets requests again, when its node restarts between the return of the store from its copy and the moment at which the departure was written again.

Cause: a new process took the list of the store for all that earlier ones had recorded. Peers knew the departure, but only told it when the new process happened to contact them, and dropped it when its new record reached them first.

First starts are as before.

Ruled out: asking peers at every start.

Evidence: store_restore::departure_is_known_to_a_node_that_restarts_at_the_return failed 25 ms after a restart at the return, and holds now at each millisecond of 36 restarts. store_recovery::* and chain_overload::* hold.

--- a/packages/policy/FailureDetector.cpp
+++ b/packages/policy/FailureDetector.cpp
@@ -217,9 +217,10 @@
 }
 
 void
-HandleProbeAck(MembershipContext& aContext, const GossipMessage&, const ProbeAck& aBody)
+HandleProbeAck(MembershipContext& aContext, const GossipMessage& aMessage, const ProbeAck& aBody)
 {
   MembershipState& state = aContext.state_;
+  state.isKnownToPeer_ = state.isKnownToPeer_ || aBody.subject_ == aMessage.sender_;
   const auto pending = state.pendingProbes_.find(aBody.number_);
   if (pending == state.pendingProbes_.end() || pending->second.target_ != aBody.subject_) {
     return;
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -89,12 +89,16 @@
   }
 }
 
-/** Whether this process knows the departures that earlier ones recorded, or has waited for them. */
+/** Whether this process knows the departures that earlier ones recorded, or has waited for them.
+ * The store may have lost that of a predecessor, so a peer is asked too if one is known. */
 bool
 KnowsDepartures(const NodeState& aState, Instant aNow)
 {
-  return !aState.settings_.usesStore_ || aState.store_.hasListed_ ||
-         aNow >= aState.membership_.startedAt_ + kDepartureLookupTimeout;
+  const MembershipState& membership = aState.membership_;
+  const bool hasAskedPeers = !membership.hasPredecessor_ || membership.isKnownToPeer_ ||
+                             (membership.announcedNodes_.empty() && membership.members_.empty());
+  return !aState.settings_.usesStore_ || (aState.store_.hasListed_ && hasAskedPeers) ||
+         aNow >= membership.startedAt_ + kDepartureLookupTimeout;
 }
 
 /** Derives the health of a backend server that sends heartbeats from these. */
--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -44,6 +44,8 @@
     // Recorded by an earlier process of this node; it must stay in the record that replaces it.
     self.departure_ = aRecord.departure_;
   }
+  aContext.state_.hasPredecessor_ =
+    aContext.state_.hasPredecessor_ || seen.incarnation_ != self.identity_.incarnation_;
   const bool otherIncarnation = seen.generation_ > self.identity_.generation_ ||
                                 (seen.generation_ == self.identity_.generation_ &&
                                  seen.incarnation_ != self.identity_.incarnation_);
