Read requests that were sent ahead in a loop

Cause: the reply to a request read the next one, and the node replied to an invalid one at once, so the depth of the stack was the number of requests in the buffer. The admin and the report address did the same.

Change: a reply leaves the rest of the input alone. The event loop reads one request of each such connection at a time, so the others are served between them. While input waits, the connection counts as busy, and more input than one head closes it, as it already did while a request was in progress.

Ruled out: a bound on the depth, which leaves the others waiting. Related paths: answers to other requests and frames of peers are read in loops.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <utility>
 
 namespace fulmarway {
 
@@ -68,9 +69,9 @@
       }
       const std::uint64_t id = nextId_++;
       Connection connection{
-        TcpChannel(socket),         peer.host().toString(), /* input_ */ {},
-        /* exchange_ */ {},         /* keepAlive_ */ true,  /* closing_ */ false,
-        /* isHeadRequest_ */ false, /* lastUsedAt_ */ aNow
+        TcpChannel(socket),         peer.host().toString(),     /* input_ */ {},
+        /* exchange_ */ {},         /* keepAlive_ */ true,      /* closing_ */ false,
+        /* isHeadRequest_ */ false, /* hasInputAhead_ */ false, /* lastUsedAt_ */ aNow
       };
       poller_.Add({ settings_.connectionRole_, id }, socket);
       connections_.emplace(id, std::move(connection));
@@ -98,7 +99,8 @@
       CloseConnection(id, events);
       return events;
     }
-    const bool isBusy = connection.exchange_ || connection.channel_.PendingBytes() > 0;
+    const bool isBusy =
+      connection.exchange_ || connection.hasInputAhead_ || connection.channel_.PendingBytes() > 0;
     if (isBusy && connection.input_.size() > limits_.maxHeaderBytes_) {
       // The client keeps sending without waiting for its reply. This input is only buffered until
       // the reply is written, so it is limited to the size of one head.
@@ -183,9 +185,24 @@
     bytes.resize(bytes.size() - aBody.size());
   }
   Write(id, connection, std::move(bytes));
-  if (Flush(id, events)) {
-    ReadRequest(id, aNow, events);
-    Flush(id, events);
+  if (Flush(id, events) && !connection.input_.empty()) {
+    connection.hasInputAhead_ = true;
+    repliedWithInput_.push_back(id);
+  }
+  return events;
+}
+
+HttpServerEvents
+HttpServer::ReadNextRequests(Instant aNow)
+{
+  HttpServerEvents events;
+  for (const std::uint64_t id : std::exchange(repliedWithInput_, {})) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) {
+      found->second.hasInputAhead_ = false;
+      ReadRequest(id, aNow, events);
+      Flush(id, events);
+    }
   }
   return events;
 }
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -64,13 +64,21 @@
 
   HttpServerEvents HandleReady(const ReadySocket& aReady, Instant aNow);
 
-  /** Replies to an exchange; ignored if its connection was closed. May return the connection's next
-   * request. */
+  /** Replies to an exchange; ignored if its connection was closed. Does not read the connection's
+   * next request: if the replies to requests that were sent ahead read each other, the stack would
+   * grow with the input. */
   HttpServerEvents Reply(ExchangeId aExchange,
                          Poco::Net::HTTPResponse& aHead,
                          std::string_view aBody,
                          Instant aNow);
 
+  /** Reads at most one request that was sent ahead on each connection that was replied to, so that
+   * a client with many of them does not hold up the others. */
+  HttpServerEvents ReadNextRequests(Instant aNow);
+
+  /** Whether ReadNextRequests() has anything to read. */
+  bool HasRequestsSentAhead() const { return !repliedWithInput_.empty(); }
+
   /** Closes each connection after its next reply; new connections are still accepted. */
   void CloseAfterReplies() { closesAfterReply_ = true; }
 
@@ -100,6 +108,8 @@
     bool closing_ = false;
     /** The current request is HEAD, so its reply has no body. */
     bool isHeadRequest_ = false;
+    /** The last reply left input that is still to be parsed by ReadNextRequests(). */
+    bool hasInputAhead_ = false;
     Instant lastUsedAt_;
     /** When the first byte of an incomplete request was received. */
     std::optional<Instant> requestStartedAt_ = {};
@@ -126,6 +136,9 @@
   std::uint64_t nextId_ = 1;
   std::unordered_map<std::uint64_t, Connection> connections_;
   std::unordered_map<ExchangeId, std::uint64_t> exchanges_;
+  /** Connections that may hold a request that was sent ahead of the last reply; some may be closed.
+   */
+  std::vector<std::uint64_t> repliedWithInput_;
 };
 
 } // namespace fulmarway
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -131,12 +131,14 @@
 {
   Instant nextTickAt = now_;
   while (!exiting_) {
-    const Duration wait = std::max(Duration(0), nextTickAt - now_);
+    const Duration wait =
+      HasRequestsSentAhead() ? Duration(0) : std::max(Duration(0), nextTickAt - now_);
     const auto ready = poller_.Poll(std::chrono::ceil<std::chrono::milliseconds>(wait));
     now_ = clock_.now_();
     for (const ReadySocket& socket : ready) {
       HandleReadySafely(socket);
     }
+    ReadRequestsSentAhead();
     ProcessSignals(aSignals);
     if (now_ >= nextTickAt) {
       nextTickAt = now_ + kTickInterval;
@@ -154,6 +156,23 @@
   }
 }
 
+bool
+Node::HasRequestsSentAhead() const
+{
+  return callers_.HasRequestsSentAhead() || admin_.HasRequestsSentAhead() ||
+         (heartbeats_ && heartbeats_->HasRequestsSentAhead());
+}
+
+void
+Node::ReadRequestsSentAhead()
+{
+  HandleCallerEvents(callers_.ReadNextRequests(now_));
+  HandleAdminEvents(admin_.ReadNextRequests(now_));
+  if (heartbeats_) {
+    HandleHeartbeatEvents(heartbeats_->ReadNextRequests(now_));
+  }
+}
+
 void
 Node::ProcessSignals(const ReceivedSignals& aSignals)
 {
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -72,6 +72,8 @@
   /** Handles the events of a socket. An exception ends its connection and not the process. */
   void HandleReadySafely(const ReadySocket& aReady);
   void HandleReady(const ReadySocket& aReady);
+  bool HasRequestsSentAhead() const;
+  void ReadRequestsSentAhead();
   void HandleCallerEvents(HttpServerEvents aEvents);
   void HandleAdminEvents(HttpServerEvents aEvents);
   void SendAdminReply(ExchangeId aExchange, const AdminReply& aReply);
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -38,6 +38,7 @@
         Record(server_.HandleReady(ready, now_));
       }
     }
+    Record(server_.ReadNextRequests(now_));
   }
 
   /** Whether the condition becomes true. */
@@ -113,6 +114,27 @@
   cr_expect(!client.IsClosed() && server.server_.ConnectionCount() == 1);
 }
 
+/** Guards against a stack that grows with the requests that a client sends ahead, and against a
+ * client that holds up the others with them. */
+Test(http_server, one_request_sent_ahead_is_read_at_a_time)
+{
+  constexpr std::size_t kRequests = 100;
+  Server server;
+  LoopbackPeer client(server.address_);
+  std::string requests;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    requests += kGet;
+  }
+  client.Send(requests);
+  cr_assert(server.RunUntilRequests(1));
+  for (std::size_t i = 1; i < kRequests; ++i) {
+    server.Reply(i - 1, "a");
+    cr_assert_eq(server.requests_.size(), i, "read by the reply to the one before");
+    server.PollOnce();
+    cr_assert_eq(server.requests_.size(), i + 1);
+  }
+}
+
 Test(http_server, closes_after_the_reply_when_the_client_wants_it)
 {
   for (const char* text :
