Limit the bytes that the process holds for all connections together

What callers saw: clients with many long bodies that stop short of their end made the node outgrow its VM; it was killed, and all its requests with it.

Cause: each connection had a limit (4 MiB of body, in buffers of up to twice that, chunked bodies in two), all together had none.

Change: one account over callers, admin, reports, peers, backend server, store and log, and the requests in progress, in and out, with metrics. Over the limit (--held-mb, 64 MiB by default) the oldest incomplete long request is refused with 503, then the longest unread answer is dropped. Complete long requests are refused "not run" by the reducer while there is no room for their copies; the free bytes are part of the event, so decisions stay reproducible. Requests below 64 KB are never affected. A connection that has been silent for 2 s within a request gives way when all are taken.

Ruled out: lower limits for each connection (honest clients at the limits of the operator would meet them first), dropping the largest (an upload that proceeds would go before one that stalls).

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -204,6 +204,17 @@
   }
 }
 
+std::size_t
+HttpClient::HeldBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [id, connection] : connections_) {
+    bytes += connection.input_.capacity() + connection.progress_.body_.capacity() +
+             connection.channel_.HeldBytes();
+  }
+  return bytes;
+}
+
 void
 HttpClient::ReadResponse(std::uint64_t aId, Instant aNow)
 {
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -90,6 +90,9 @@
   /** Bytes of the incomplete answers on all connections. */
   std::size_t BufferedBytes() const { return bufferedBytes_; }
 
+  /** Memory of the connections: incomplete answers, and requests that are not completely sent. */
+  std::size_t HeldBytes() const;
+
 private:
   struct Connection
   {
--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <spdlog/spdlog.h>
 #include <utility>
 
 namespace fulmarway {
@@ -14,17 +15,25 @@
  * default of maxBodyBytes_, needs 1.1 Mbit/s. */
 constexpr Duration kRequestTimeout = std::chrono::seconds(30);
 
-/** Refuses a connection above the limit. To the caller this is the same as a full queue: the node
- * has no capacity now, and the request was not run. */
+/** Requests and replies below this size are not given up for their memory: connections with them
+ * are bounded by their number. */
+constexpr std::size_t kLongMessageBytes = 64U << 10;
+/** Time without a byte after which an incomplete request gives way to a new connection. A client
+ * that sends at all is far from it. */
+constexpr Duration kSilenceBeforeEviction = std::chrono::seconds(2);
+
+/** The node has no capacity now, and the request was not run. */
+const std::string kRefusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                             "Fulmarway-Verdict: not-run\r\n"
+                             "Fulmarway-Reason: shed-by-queue\r\n"
+                             "Retry-After: 1\r\n"
+                             "Content-Length: 0\r\n"
+                             "Connection: close\r\n\r\n";
+
+/** Refuses a connection above the limit. To the caller this is the same as a full queue. */
 void
 RefuseConnection(Poco::Net::StreamSocket& aSocket)
 {
-  static const std::string kRefusal = "HTTP/1.1 503 Service Unavailable\r\n"
-                                      "Fulmarway-Verdict: not-run\r\n"
-                                      "Fulmarway-Reason: shed-by-queue\r\n"
-                                      "Retry-After: 1\r\n"
-                                      "Content-Length: 0\r\n"
-                                      "Connection: close\r\n\r\n";
   try {
     aSocket.setBlocking(false);
     aSocket.sendBytes(kRefusal.data(), static_cast<int>(kRefusal.size()));
@@ -63,7 +72,7 @@
     try {
       Poco::Net::SocketAddress peer;
       Poco::Net::StreamSocket socket = listener_.acceptConnection(peer);
-      if (connections_.size() >= settings_.maxConnections_) {
+      if (connections_.size() >= settings_.maxConnections_ && !EvictSilent(aNow)) {
         RefuseConnection(socket);
         continue;
       }
@@ -75,6 +84,7 @@
       };
       poller_.Add({ settings_.connectionRole_, id }, socket);
       connections_.emplace(id, std::move(connection));
+      Recount(id);
     } catch (const Poco::Exception&) {
       // No more pending connections, or accepting one failed, for example for lack of file
       // descriptors. The poller reports the listener again while connections are pending.
@@ -112,6 +122,7 @@
     ReadRequest(id, aNow, events);
     Flush(id, events);
   }
+  Recount(id);
   return events;
 }
 
@@ -157,8 +168,17 @@
   // Replaces the status 400 by that of aInvalid and sets the headers.
   const std::string body = FormatInvalidRequest(aInvalid, head);
   head.setKeepAlive(false);
+  CloseAfter(aId, aConnection, FormatHttp(head, body));
+}
+
+void
+HttpServer::CloseAfter(std::uint64_t aId, Connection& aConnection, std::string aReply)
+{
   aConnection.closing_ = true;
-  Write(aId, aConnection, FormatHttp(head, body));
+  // What has arrived is not parsed any more.
+  aConnection.input_ = {};
+  aConnection.progress_ = {};
+  Write(aId, aConnection, std::move(aReply));
 }
 
 HttpServerEvents
@@ -189,6 +209,7 @@
     connection.hasInputAhead_ = true;
     repliedWithInput_.push_back(id);
   }
+  Recount(id);
   return events;
 }
 
@@ -202,11 +223,91 @@
       found->second.hasInputAhead_ = false;
       ReadRequest(id, aNow, events);
       Flush(id, events);
+      Recount(id);
     }
   }
   return events;
 }
 
+void
+HttpServer::Recount(std::uint64_t aId)
+{
+  const auto found = connections_.find(aId);
+  if (found == connections_.end()) {
+    return;
+  }
+  Connection& connection = found->second;
+  heldBytes_ -= connection.heldBytes_;
+  connection.heldBytes_ = sizeof(Connection) + connection.input_.capacity() +
+                          connection.progress_.body_.capacity() + connection.channel_.HeldBytes();
+  heldBytes_ += connection.heldBytes_;
+}
+
+bool
+HttpServer::EvictSilent(Instant aNow)
+{
+  auto silent = connections_.end();
+  for (auto next = connections_.begin(); next != connections_.end(); ++next) {
+    const Connection& connection = next->second;
+    const bool isSilent =
+      connection.requestStartedAt_ && aNow >= connection.lastUsedAt_ + kSilenceBeforeEviction;
+    if (isSilent &&
+        (silent == connections_.end() || connection.lastUsedAt_ < silent->second.lastUsedAt_)) {
+      silent = next;
+    }
+  }
+  if (silent == connections_.end()) {
+    return false;
+  }
+  RefuseIncomplete(silent->first);
+  return true;
+}
+
+void
+HttpServer::RefuseIncomplete(std::uint64_t aId)
+{
+  HttpServerEvents ignored; // An incomplete request has no exchange.
+  CloseAfter(aId, connections_.at(aId), kRefusal);
+  if (Flush(aId, ignored)) {
+    // The client reads no replies either, and the connection was to be given up.
+    CloseConnection(aId, ignored);
+  }
+}
+
+bool
+HttpServer::ReleaseMemory(Instant aNow)
+{
+  auto incomplete = connections_.end();
+  auto unread = connections_.end();
+  for (auto next = connections_.begin(); next != connections_.end(); ++next) {
+    const Connection& connection = next->second;
+    const std::size_t pending = connection.channel_.PendingBytes();
+    if (connection.requestStartedAt_ && connection.heldBytes_ >= kLongMessageBytes &&
+        (incomplete == connections_.end() ||
+         *connection.requestStartedAt_ < *incomplete->second.requestStartedAt_)) {
+      incomplete = next;
+    }
+    if (pending >= kLongMessageBytes &&
+        (unread == connections_.end() || pending > unread->second.channel_.PendingBytes())) {
+      unread = next;
+    }
+  }
+  if (incomplete != connections_.end()) {
+    spdlog::warn("event=long_request_refused held_bytes={} age_us={}",
+                 incomplete->second.heldBytes_,
+                 (aNow - *incomplete->second.requestStartedAt_).count());
+    RefuseIncomplete(incomplete->first);
+    return true;
+  }
+  if (unread == connections_.end()) {
+    return false;
+  }
+  spdlog::warn("event=unread_reply_dropped held_bytes={}", unread->second.heldBytes_);
+  HttpServerEvents ignored; // Its exchange ended with the reply.
+  CloseConnection(unread->first, ignored);
+  return true;
+}
+
 void
 HttpServer::Write(std::uint64_t aId, Connection& aConnection, std::string aBytes)
 {
@@ -236,6 +337,7 @@
     aEvents.disconnected_.push_back(*exchange);
     exchanges_.erase(*exchange);
   }
+  heldBytes_ -= found->second.heldBytes_;
   poller_.Remove({ settings_.connectionRole_, aId });
   found->second.channel_.Close();
   connections_.erase(found);
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -92,6 +92,14 @@
   /** The bound address, with the port that the system chose if port 0 was requested. */
   Poco::Net::SocketAddress Address() const { return listener_.address(); }
 
+  /** Memory of the connections: input, decoded bodies, unread replies. */
+  std::size_t HeldBytes() const { return heldBytes_; }
+
+  /** Frees memory at the cost of one connection: refuses the long request that has been incomplete
+   * for the longest time, or closes the connection with the longest unread reply. Returns whether
+   * there was one. Requests that were passed on and short ones are not affected. */
+  bool ReleaseMemory(Instant aNow);
+
   std::size_t ConnectionCount() const { return connections_.size(); }
 
   /** Whether replies are still in output buffers. */
@@ -114,18 +122,30 @@
     /** When the first byte of an incomplete request was received. */
     std::optional<Instant> requestStartedAt_ = {};
     RequestProgress progress_ = {};
+    /** Part of heldBytes_. */
+    std::size_t heldBytes_ = 0;
   };
 
   /** Parses the next request once the previous reply is completely written. */
   void ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
   void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
   void CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents);
+  /** Updates the memory of the connection, if it is still open. */
+  void Recount(std::uint64_t aId);
+  /** Replies "not run" to an incomplete request and closes its connection. */
+  void RefuseIncomplete(std::uint64_t aId);
+  /** Makes room for another connection by one that has been silent within a request. Returns
+   * whether there was one. */
+  bool EvictSilent(Instant aNow);
   /** Writes buffered output; closes the connection on an error, or when closing_ is set and all
    * output is written. Returns whether the connection is still open. */
   bool Flush(std::uint64_t aId, HttpServerEvents& aEvents);
 
   bool IsHeadOverdue(const Connection& aConnection, Instant aNow) const;
   void Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid);
+  /** Sends the reply, drops what has arrived, and closes the connection once the reply is written.
+   */
+  void CloseAfter(std::uint64_t aId, Connection& aConnection, std::string aReply);
 
   HttpServerSettings settings_;
   CallerLimits limits_;
@@ -139,6 +159,7 @@
   /** Connections that may hold a request that was sent ahead of the last reply; some may be closed.
    */
   std::vector<std::uint64_t> repliedWithInput_;
+  std::size_t heldBytes_ = 0;
 };
 
 } // namespace fulmarway
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -127,6 +127,27 @@
   return family;
 }
 
+MetricFamily
+MakeHeldBytes(const HeldBytes& aHeld)
+{
+  MetricFamily family =
+    MakeFamily("held_bytes",
+               "Bytes received and not yet parsed, in requests in progress, and "
+               "written and not yet sent",
+               MetricType::Gauge);
+  const auto add = [&](const char* aHolder, std::size_t aBytes) {
+    AddValue(family, static_cast<double>(aBytes), { { "holder", aHolder } });
+  };
+  add("callers", aHeld.callers_);
+  add("admin", aHeld.admin_);
+  add("reports", aHeld.heartbeats_);
+  add("peers", aHeld.peers_);
+  add("backend", aHeld.backend_);
+  add("control", aHeld.control_);
+  add("requests", aHeld.requests_);
+  return family;
+}
+
 void
 AddGauges(std::vector<MetricFamily>& aFamilies, const NodeState& aState, const LoopCounters& aLoop)
 {
@@ -168,6 +189,9 @@
   add("dropped_log_lines_total",
       "Log lines lost because the reader of standard output did not keep up",
       aLoop.droppedLogLines_);
+  add("released_connections_total",
+      "Connections of callers that were given up for their memory",
+      aLoop.releasedConnections_);
   add("invalid_peer_messages_total", "Dropped TCP messages", aLoop.invalidPeerMessages_);
   add("invalid_datagrams_total", "Dropped UDP messages", aLoop.invalidDatagrams_);
   add("undecodable_log_records_total", "Log records passed over", aLoop.undecodableLogRecords_);
@@ -192,6 +216,7 @@
   }
   families.push_back(MakeRefusals(aState.counters_));
   families.push_back(MakeMembers(aState));
+  families.push_back(MakeHeldBytes(aLoop.held_));
   AddGauges(families, aState, aLoop);
   AddLoopCounters(families, aLoop);
   std::ostringstream stream;
--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "node/HeldBytes.h"
 #include "policy/NodeState.h"
 
 #include <cstdint>
@@ -26,6 +27,9 @@
   std::uint64_t omittedLogLines_ = 0;
   /** Log lines dropped because the reader of standard output did not keep up. */
   std::uint64_t droppedLogLines_ = 0;
+  /** Connections of callers that were given up for their memory. */
+  std::uint64_t releasedConnections_ = 0;
+  HeldBytes held_;
 };
 
 /** Body of GET /metrics. */
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "logservice/LogProtocol.h"
 #include "policy/Lifecycle.h"
+#include "policy/RequestMemory.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
@@ -137,6 +138,7 @@
     now_ = clock_.now_();
     for (const ReadySocket& socket : ready) {
       HandleReadySafely(socket);
+      LimitHeldBytes();
     }
     ReadRequestsSentAhead();
     ProcessSignals(aSignals);
@@ -156,6 +158,28 @@
   }
 }
 
+void
+Node::CountHeldBytes()
+{
+  held_ = { callers_.HeldBytes(),
+            admin_.HeldBytes(),
+            heartbeats_ ? heartbeats_->HeldBytes() : 0,
+            peers_.HeldBytes(),
+            backend_.HeldBytes() + healthChecks_.HeldBytes(),
+            (store_ ? store_->HeldBytes() : 0) + (logService_ ? logService_->HeldBytes() : 0),
+            CountRequestBytes(state_) };
+}
+
+void
+Node::LimitHeldBytes()
+{
+  held_.callers_ = callers_.HeldBytes();
+  while (Sum(held_) > settings_.maxHeldBytes_ && callers_.ReleaseMemory(now_)) {
+    ++counters_.releasedConnections_;
+    held_.callers_ = callers_.HeldBytes();
+  }
+}
+
 bool
 Node::HasRequestsSentAhead() const
 {
@@ -204,7 +228,11 @@
 Node::DrainQueue()
 {
   while (!queue_.empty()) {
-    Event event{ now_, clock_.entropy_(), clock_.wallTimeMs_(), std::move(queue_.front()) };
+    Event event{ now_,
+                 clock_.entropy_(),
+                 clock_.wallTimeMs_(),
+                 std::move(queue_.front()),
+                 FreeBytes(held_, settings_.maxHeldBytes_) };
     queue_.pop_front();
     auto step = Reduce(std::move(state_), event);
     state_ = std::move(step.state_);
@@ -217,6 +245,7 @@
 Node::RunTick()
 {
   peers_.Advance(now_);
+  CountHeldBytes();
   if (now_ >= nextSocketCheckAt_) {
     nextSocketCheckAt_ = now_ + kSocketCheckInterval;
     CheckSockets();
@@ -330,6 +359,7 @@
       HandleCallerEvents(callers_.Reply(arrived.exchange_, head, body, now_));
       continue;
     }
+    CountAccepted(request->body_.size());
     request->callerAddress_ = arrived.peer_;
     request->fromBackend_ = arrived.peer_ == settings_.backend_.host().toString();
     queue_.push_back(CallerRequestArrived{ arrived.exchange_, std::move(*request) });
@@ -368,6 +398,7 @@
   LoopCounters counters = counters_;
   counters.invalidPeerMessages_ = peers_.InvalidMessages();
   counters.callerConnections_ = callers_.ConnectionCount();
+  counters.held_ = held_;
   counters.droppedLogLines_ = droppedLogLines_();
   return counters;
 }
@@ -411,6 +442,10 @@
 Node::CollectPeerEvents()
 {
   for (EventBody& event : peers_.ExtractEvents()) {
+    if (const auto* arrived = std::get_if<LinkMessageArrived>(&event)) {
+      const auto* call = std::get_if<CallRequest>(&arrived->message_);
+      CountAccepted(call != nullptr ? call->request_.body_.size() : 0);
+    }
     queue_.push_back(std::move(event));
   }
 }
@@ -430,6 +465,7 @@
     const bool isRefused = interface_.calls_.isRefusedByBackend_(result.response_->head_);
     const auto load = interface_.calls_.backendLoad_(result.response_->head_);
     const BackendSignals signals = interface_.calls_.backendSignals_(result.response_->head_);
+    CountAccepted(result.response_->body_.size());
     auto answer = interface_.calls_.makeAnswer_(std::move(*result.response_));
     if (answer) {
       queue_.push_back(BackendAnswered{ id, std::move(*answer), isRefused, load, signals });
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "node/AdminApi.h"
+#include "node/HeldBytes.h"
 #include "node/HttpClient.h"
 #include "node/HttpServer.h"
 #include "node/LogLimiter.h"
@@ -72,6 +73,11 @@
   /** Handles the events of a socket. An exception ends its connection and not the process. */
   void HandleReadySafely(const ReadySocket& aReady);
   void HandleReady(const ReadySocket& aReady);
+  /** Counts what the process holds. Between two counts, CountAccepted() adds to it. */
+  void CountHeldBytes();
+  void CountAccepted(std::size_t aBodyBytes) { held_.requests_ += aBodyBytes; }
+  /** Keeps the sum within the limit at the cost of connections of callers. */
+  void LimitHeldBytes();
   bool HasRequestsSentAhead() const;
   void ReadRequestsSentAhead();
   void HandleCallerEvents(HttpServerEvents aEvents);
@@ -118,6 +124,7 @@
   Instant now_;
   NodeState state_;
   Poller poller_;
+  HeldBytes held_;
   HttpServer callers_;
   HttpServer admin_;
   PeerLinks peers_;
--- a/packages/node/PeerLinks.cpp
+++ b/packages/node/PeerLinks.cpp
@@ -42,6 +42,7 @@
 void
 FrameQueue::Push(AttemptId aAttempt, bool aIsPart, std::string aFrame)
 {
+  bytes_ += aFrame.size();
   if (aIsPart) {
     parts_[aAttempt].push_back(std::move(aFrame));
   } else {
@@ -54,6 +55,7 @@
 {
   while (aChannel.PendingBytes() < kOutputBufferTargetBytes && !IsEmpty()) {
     if (!urgent_.empty()) {
+      bytes_ -= urgent_.front().size();
       aChannel.Queue(std::move(urgent_.front()));
       urgent_.pop_front();
       continue;
@@ -63,6 +65,7 @@
       next = parts_.begin();
     }
     lastAttempt_ = next->first;
+    bytes_ -= next->second.front().size();
     aChannel.Queue(std::move(next->second.front()));
     next->second.pop_front();
     if (next->second.empty()) {
@@ -351,6 +354,19 @@
   return std::exchange(events_, {});
 }
 
+std::size_t
+PeerLinks::HeldBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [id, link] : peers_) {
+    bytes += link.input_.bytes_.capacity() + link.channel_.HeldBytes();
+  }
+  for (const auto& [id, link] : accepted_) {
+    bytes += link.input_.bytes_.capacity() + link.channel_.HeldBytes() + link.output_.HeldBytes();
+  }
+  return bytes;
+}
+
 bool
 PeerLinks::HasPendingOutput() const
 {
--- a/packages/node/PeerLinks.h
+++ b/packages/node/PeerLinks.h
@@ -30,6 +30,9 @@
   /** Moves frames into the channel until it buffers enough to keep the socket busy. */
   void Fill(TcpChannel& aChannel);
 
+  /** Bytes of the frames. */
+  std::size_t HeldBytes() const { return bytes_; }
+
   bool IsEmpty() const { return urgent_.empty() && parts_.empty(); }
 
 private:
@@ -37,6 +40,7 @@
   std::map<AttemptId, std::deque<std::string>> parts_;
   /** The attempt whose part was moved to the channel last. */
   AttemptId lastAttempt_;
+  std::size_t bytes_ = 0;
 };
 
 class PeerLinks
@@ -72,6 +76,9 @@
 
   bool HasPendingOutput() const;
 
+  /** Memory of the links: incomplete frames, and frames that are not completely sent. */
+  std::size_t HeldBytes() const;
+
 private:
   struct PeerLink
   {
--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -114,6 +114,13 @@
                "maximum number of caller connections",
                1,
                100000 },
+  SettingSpec{
+    "held-mb",
+    SettingKind::kNumber,
+    "64",
+    "bytes of requests and answers that the process holds, all connections together, MiB",
+    16,
+    65536 },
 };
 
 /** FULMARWAY_ followed by the name of the setting in upper case, with '_' for '-'. */
@@ -283,6 +290,7 @@
   settings.backend_ = *ParseAddress(aValues.at("backend"));
   settings.logService_ = ParseAddress(aValues.at("log-service"));
   settings.maxConnections_ = *ParseNumber(aValues.at("max-connections"));
+  settings.maxHeldBytes_ = static_cast<std::size_t>(*ParseNumber(aValues.at("held-mb"))) << 20;
   settings.logLevel_ = aValues.at("log-level");
   settings.interface_ = aValues.at("interface");
   settings.bounds_ = aValues.at("bounds");
--- a/packages/node/Settings.h
+++ b/packages/node/Settings.h
@@ -40,6 +40,8 @@
   /** Time limits of the deployment, in the syntax of the interface; may be empty. */
   std::string bounds_;
   std::size_t maxConnections_ = 2000;
+  /** Limit of the bytes that the process holds for others, see HeldBytes.h. */
+  std::size_t maxHeldBytes_ = std::size_t{ 64 } << 20;
   std::string logLevel_ = "info";
   /** --check-settings: exit after validating the settings. */
   bool checkOnly_ = false;
--- a/packages/node/TcpChannel.h
+++ b/packages/node/TcpChannel.h
@@ -41,6 +41,9 @@
   /** Bytes in the output buffer. */
   std::size_t PendingBytes() const { return output_.size() - outputStart_; }
 
+  /** Memory of the output buffer, including bytes that were sent and not yet removed. */
+  std::size_t HeldBytes() const { return output_.capacity(); }
+
   /** Whether the other side closed the connection cleanly, after sending all of its bytes. */
   bool WasClosedCleanly() const { return closedCleanly_; }
 
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -18,12 +18,12 @@
 class Server
 {
 public:
-  explicit Server(std::size_t aMaxConnections = 10)
+  explicit Server(std::size_t aMaxConnections = 10, std::size_t aMaxBody = kMaxBody)
     : server_({ Poco::Net::SocketAddress("127.0.0.1:0"),
                 SocketRole::kCallerListener,
                 SocketRole::kCallerConnection,
                 aMaxConnections,
-                kMaxBody },
+                aMaxBody },
               poller_)
     , address_(server_.Address())
   {
@@ -135,6 +135,56 @@
   }
 }
 
+/** Guards against a process that runs out of memory because each connection has a limit and all
+ * together have none: the oldest long request is refused, and an ordinary one is not. */
+Test(http_server, memory_is_released_from_the_oldest_long_request)
+{
+  constexpr std::size_t kLongBody = 100'000;
+  Server server(10, 2 * kLongBody);
+  std::vector<LoopbackPeer> crowd;
+  for (int i = 0; i < 3; ++i) {
+    server.now_ += 1s;
+    crowd.emplace_back(server.address_);
+    crowd.back().Send("POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(kLongBody + 1) +
+                      "\r\n\r\n" + std::string(kLongBody, 'x'));
+    cr_assert(server.RunUntil(
+      [&] { return server.server_.HeldBytes() > (static_cast<std::size_t>(i) + 1) * kLongBody; }));
+  }
+  LoopbackPeer ordinary(server.address_);
+  ordinary.Send("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nb");
+  cr_assert(server.RunUntilConnections(4));
+  server.Settle();
+  for (std::size_t i = 0; i < crowd.size(); ++i) {
+    cr_assert(server.server_.ReleaseMemory(server.now_));
+    cr_expect(server.RunUntil([&] { return crowd[i].Has("503") && crowd[i].Has("not-run"); }));
+    cr_expect_lt(server.server_.HeldBytes(), 2 * kLongBody * (crowd.size() - i));
+  }
+  cr_expect_not(server.server_.ReleaseMemory(server.now_), "short requests are kept");
+  ordinary.Send("b");
+  cr_assert(server.RunUntilRequests(1));
+  server.Reply(0, "answer");
+  cr_expect(server.RunUntil([&] { return ordinary.Has("answer"); }));
+}
+
+/** Guards against clients that take all connections and send nothing more. */
+Test(http_server, silent_connection_within_a_request_gives_way_to_a_new_one)
+{
+  Server server(2);
+  LoopbackPeer silent(server.address_);
+  silent.Send("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nb");
+  LoopbackPeer idle(server.address_);
+  cr_assert(server.RunUntilConnections(2));
+  server.Settle();
+  LoopbackPeer early(server.address_);
+  cr_expect(server.RunUntil([&] { return early.Has("503"); }), "the others are still at work");
+  server.now_ += 3s;
+  LoopbackPeer late(server.address_);
+  late.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  cr_expect(server.RunUntil([&] { return silent.Has("503") && silent.IsClosed(); }));
+  cr_expect_not(idle.IsClosed());
+}
+
 Test(http_server, closes_after_the_reply_when_the_client_wants_it)
 {
   for (const char* text :
--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -40,6 +40,7 @@
   "omitted_log_lines_total",
   "peer_connections_lost_total",
   "refusals_total",
+  "released_connections_total",
   "retries_total",
   "ticket_redirects_total",
   "ticket_repeats_total",
@@ -47,10 +48,11 @@
 };
 
 const std::set<std::string> kGauges = {
-  "admission_level",   "backend_healthy", "backend_rate_limit", "caller_connections",
-  "concurrency_limit", "config_version",  "log_reachable",      "members",
-  "outbound_calls",    "queued_requests", "running_requests",   "store_era",
-  "store_reachable",   "tickets",
+  "admission_level",    "backend_healthy",   "backend_rate_limit",
+  "caller_connections", "concurrency_limit", "config_version",
+  "held_bytes",         "log_reachable",     "members",
+  "outbound_calls",     "queued_requests",   "running_requests",
+  "store_era",          "store_reachable",   "tickets",
 };
 
 struct Scrape
@@ -125,7 +127,7 @@
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     state.counters_.Add(static_cast<CounterId>(index), 1000 + index);
   }
-  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+  const LoopCounters loop{ 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11 };
   const Scrape scrape = Read(RenderMetrics(state, loop));
   for (std::size_t index = 0; index < kCounterCount; ++index) {
     const auto name = std::string(CounterName(static_cast<CounterId>(index))) + "_total";
@@ -137,7 +139,7 @@
     { "control_sent_bytes_total", "5" }, { "control_received_bytes_total", "6" },
     { "caller_connections", "7" },       { "backend_healthy", "0" },
     { "invalid_reports_total", "8" },    { "omitted_log_lines_total", "9" },
-    { "dropped_log_lines_total", "10" },
+    { "dropped_log_lines_total", "10" }, { "released_connections_total", "11" },
   };
   for (const auto& [name, value] : expected) {
     cr_expect_eq(scrape.values_.at(name), value, "%s", name.c_str());
--- a/packages/policy/CallerRequests.cpp
+++ b/packages/policy/CallerRequests.cpp
@@ -3,6 +3,7 @@
 #include "policy/Inbound.h"
 #include "policy/Lifecycle.h"
 #include "policy/OutboundCalls.h"
+#include "policy/RequestMemory.h"
 #include "policy/RouteCandidates.h"
 
 #include <algorithm>
@@ -55,7 +56,9 @@
 } // namespace
 
 std::optional<Refusal>
-ValidateCallerRequest(const NodeState& aState, const CallerRequest& aRequest)
+ValidateCallerRequest(const NodeState& aState,
+                      const ReduceContext& aContext,
+                      const CallerRequest& aRequest)
 {
   const Configuration& config = ConfigOf(aState);
   if (!config.services_.contains(aRequest.service_)) {
@@ -78,7 +81,8 @@
       return NotRun(Reason::kTooDeep);
     }
   }
-  if (aState.outbound_.calls_.size() >= kMaxOutboundCalls) {
+  if (aState.outbound_.calls_.size() >= kMaxOutboundCalls ||
+      !HasRoomFor(aContext, aRequest.body_)) {
     return NotRun(Reason::kShedByQueue);
   }
   return std::nullopt;
--- a/packages/policy/CallerRequests.h
+++ b/packages/policy/CallerRequests.h
@@ -10,7 +10,9 @@
 
 /** Validates a caller's request. Returns the refusal, or nullopt when a call may be made for it. */
 std::optional<Refusal>
-ValidateCallerRequest(const NodeState& aState, const CallerRequest& aRequest);
+ValidateCallerRequest(const NodeState& aState,
+                      const ReduceContext& aContext,
+                      const CallerRequest& aRequest);
 
 /** Answers GET /v1/ticket. */
 void
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -12,6 +12,7 @@
 #include "model/Store.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
@@ -238,6 +239,8 @@
   /** Wall clock in milliseconds since 1970. Used for the audit trail only. */
   std::uint64_t wallTimeMs_ = 0;
   EventBody body_;
+  /** Bytes that the process may still take for requests, see HasRoomFor(). */
+  std::size_t freeBytes_ = std::numeric_limits<std::size_t>::max();
 
   bool operator==(const Event&) const = default;
 };
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -4,6 +4,7 @@
 #include "policy/Lifecycle.h"
 #include "policy/NoisyNeighbour.h"
 #include "policy/RequestLog.h"
+#include "policy/RequestMemory.h"
 #include "policy/RouteCandidates.h"
 
 #include <algorithm>
@@ -146,12 +147,15 @@
 
 /** The reason to refuse any new work at present; nullopt when new work is accepted. */
 std::optional<Reason>
-NewWorkRefusalReason(const NodeState& aState, const ReduceContext& aContext)
+NewWorkRefusalReason(const NodeState& aState,
+                     const ReduceContext& aContext,
+                     const Request& aRequest)
 {
   if (!AcceptsNewWork(aState, aContext.now_)) {
     return IsDraining(aState) ? Reason::kDraining : Reason::kBackendUnreachable;
   }
-  if (aState.inbound_.requests_.size() >= kMaxInboundRequests) {
+  if (aState.inbound_.requests_.size() >= kMaxInboundRequests ||
+      !HasRoomFor(aContext, aRequest.body_)) {
     return Reason::kShedByQueue;
   }
   return std::nullopt;
@@ -217,7 +221,7 @@
     EndNotRun(aState, aContext, aId, refusal->reason_);
     return;
   }
-  if (const auto reason = NewWorkRefusalReason(aState, aContext)) {
+  if (const auto reason = NewWorkRefusalReason(aState, aContext, aCall.request_)) {
     EndNotRun(aState, aContext, aId, *reason);
     return;
   }
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -334,6 +334,8 @@
 {
   Instant now_;
   std::uint64_t wallTimeMs_ = 0;
+  /** As in Event. */
+  std::size_t freeBytes_ = 0;
   RandomStream random_;
   Effects effects_;
   std::deque<LocalMessage> local_;
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -276,7 +276,7 @@
     HandleRoutedRequest(aState, aContext, aEvent);
     return;
   }
-  if (const auto refusal = ValidateCallerRequest(aState, request)) {
+  if (const auto refusal = ValidateCallerRequest(aState, aContext, request)) {
     RefuseRequest(aState, aContext, aEvent, *refusal);
     return;
   }
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -199,6 +199,7 @@
   ReduceContext context;
   context.now_ = aEvent.now_;
   context.wallTimeMs_ = aEvent.wallTimeMs_;
+  context.freeBytes_ = aEvent.freeBytes_;
   context.random_.state_ = aEvent.entropy_;
   std::visit(EventHandler{ aState, context }, aEvent.body_);
   HandleLocalMessages(aState, context);
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/Lifecycle.h"
 #include "policy/OutboundCalls.h"
+#include "policy/RequestMemory.h"
 #include "policy/RouteTable.h"
 
 #include <algorithm>
@@ -27,13 +28,16 @@
 
 /** The reason to refuse any routed request at present; nullopt when they are accepted. */
 std::optional<Reason>
-NodeRefusalReason(const NodeState& aState)
+NodeRefusalReason(const NodeState& aState,
+                  const ReduceContext& aContext,
+                  const CallerRequest& aRequest)
 {
   if (ConfigOf(aState).version_ == 0) {
     return Reason::kNoConfiguration;
   }
-  return aState.outbound_.calls_.size() >= kMaxOutboundCalls ? std::optional(Reason::kShedByQueue)
-                                                             : std::nullopt;
+  const bool isFull =
+    aState.outbound_.calls_.size() >= kMaxOutboundCalls || !HasRoomFor(aContext, aRequest.body_);
+  return isFull ? std::optional(Reason::kShedByQueue) : std::nullopt;
 }
 
 Request
@@ -119,7 +123,7 @@
 void
 HandleRoutedRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
 {
-  if (const auto reason = NodeRefusalReason(aState)) {
+  if (const auto reason = NodeRefusalReason(aState, aContext, aEvent.request_)) {
     RefuseRequest(aState, aContext, aEvent, NotRun(*reason));
     return;
   }
--- /dev/null
+++ b/packages/policy/tests/RequestMemoryTest.cpp
@@ -0,0 +1,66 @@
+/** \file
+ * Guards against long bodies that are accepted although the process has no room for them, and
+ * against short requests that are refused because of them.
+ */
+#include "policy/RequestMemory.h"
+#include "policy/tests/RoutedSimulation.h"
+
+#include <criterion/criterion.h>
+
+using namespace fulmarway;
+using namespace fulmarway::test;
+
+namespace {
+
+constexpr std::size_t kLongBody = std::size_t{ 1 } << 20;
+
+/** The effects of a call for the backend server beside the node, while aFreeBytes are free. */
+Effects
+OfferCall(const RoutedSimulation& aWorld, std::size_t aBodyBytes, std::size_t aFreeBytes)
+{
+  CallRequest call;
+  call.attempt_ = AttemptId{ 1 };
+  call.request_.service_ = aWorld.nodes_[0].settings_.identity_.service_;
+  call.request_.body_.assign(aBodyBytes, 'x');
+  call.request_.routed_ = RoutedPart{};
+  call.remaining_ = std::chrono::seconds(1);
+  Event event{ aWorld.now_, 1, 0, LinkMessageArrived{ LinkId{ 1 }, NodeId{ 7 }, call } };
+  event.freeBytes_ = aFreeBytes;
+  return Reduce(aWorld.nodes_[0], event).result_;
+}
+
+bool
+IsRefused(const Effects& aEffects)
+{
+  return std::any_of(aEffects.begin(), aEffects.end(), [](const Effect& aEffect) {
+    const auto* sent = std::get_if<SendToLink>(&aEffect);
+    const auto* refused = sent == nullptr ? nullptr : std::get_if<CallRefused>(&sent->message_);
+    return refused != nullptr && refused->refusal_.verdict_ == Verdict::kNotRun &&
+           refused->refusal_.reason_ == Reason::kShedByQueue;
+  });
+}
+
+} // namespace
+
+Test(request_memory, long_bodies_are_refused_without_room_and_short_ones_are_not)
+{
+  RoutedSimulation world(1);
+  cr_expect(IsRefused(OfferCall(world, kLongBody, 2 * kLongBody)));
+  cr_expect_not(IsRefused(OfferCall(world, kLongBody, 4 * kLongBody)));
+  cr_expect_not(IsRefused(OfferCall(world, 1000, 0)));
+}
+
+/** Guards against bodies that are in no account. */
+Test(request_memory, bodies_of_accepted_requests_are_counted)
+{
+  RoutedSimulation world(1);
+  CallRequest call;
+  call.attempt_ = AttemptId{ 1 };
+  call.request_.service_ = world.nodes_[0].settings_.identity_.service_;
+  call.request_.body_.assign(kLongBody, 'x');
+  call.request_.routed_ = RoutedPart{};
+  call.remaining_ = std::chrono::seconds(1);
+  cr_expect_eq(CountRequestBytes(world.nodes_[0]), 0U);
+  world.Inject(0, LinkMessageArrived{ LinkId{ 1 }, NodeId{ 7 }, call });
+  cr_expect_eq(CountRequestBytes(world.nodes_[0]), kLongBody);
+}
