End an attempt on a link with the last part of its answer

Cause: an attempt left the table of its link only with an answer in one message; a longer one arrives as a first message and parts. Class: a table whose entries have no owner for one of their ends. Change: the size of the body is kept from the first message, and the last part ends the attempt.

Evidence: peer_links::attempt_ends_with_the_last_part_of_its_answer fails without the change (1 attempt in flight after its answer) and holds with it.

--- a/packages/node/PeerLinks.cpp
+++ b/packages/node/PeerLinks.cpp
@@ -130,7 +130,7 @@
   }
   const std::uint64_t id = byPeer_.at(aPeer);
   if (std::holds_alternative<CallRequest>(aMessage)) {
-    link->attempts_.emplace(AttemptOf(aMessage), link->queuedBytes_);
+    link->attempts_.emplace(AttemptOf(aMessage), AttemptInFlight{ link->queuedBytes_ });
   } else if (std::holds_alternative<CallCancelled>(aMessage)) {
     link->attempts_.erase(AttemptOf(aMessage));
   }
@@ -164,8 +164,8 @@
 {
   PeerLink& link = peers_.at(aId);
   PeerLost lost{ link.peer_, {}, {} };
-  for (const auto& [attempt, start] : link.attempts_) {
-    const bool isWritten = link.channel_.BytesWritten() > start;
+  for (const auto& [attempt, inFlight] : link.attempts_) {
+    const bool isWritten = link.channel_.BytesWritten() > inFlight.start_;
     (isWritten ? lost.written_ : lost.unwritten_).push_back(attempt);
   }
   if (!link.attempts_.empty()) {
@@ -186,10 +186,19 @@
   if (isOther) {
     aLink.pendingOtherRequests_ -= aLink.pendingOtherRequests_ > 0 ? 1 : 0;
   }
-  const auto* answer = std::get_if<CallAnswer>(&aMessage);
-  const bool isComplete = answer != nullptr && answer->answer_.body_.size() == answer->bodyBytes_;
-  if (isComplete || std::holds_alternative<CallRefused>(aMessage)) {
-    aLink.attempts_.erase(AttemptOf(aMessage));
+  const auto attempt = aLink.attempts_.find(AttemptOf(aMessage));
+  if (attempt == aLink.attempts_.end()) {
+    return;
+  }
+  bool hasEnded = std::holds_alternative<CallRefused>(aMessage);
+  if (const auto* answer = std::get_if<CallAnswer>(&aMessage)) {
+    attempt->second.bodyBytes_ = answer->bodyBytes_;
+    hasEnded = answer->answer_.body_.size() == answer->bodyBytes_;
+  } else if (const auto* part = std::get_if<CallAnswerPart>(&aMessage)) {
+    hasEnded = part->offset_ + part->bytes_.size() >= attempt->second.bodyBytes_;
+  }
+  if (hasEnded) {
+    aLink.attempts_.erase(attempt);
   }
 }
 
@@ -354,6 +363,16 @@
   return std::exchange(events_, {});
 }
 
+std::size_t
+PeerLinks::AttemptsInFlight() const
+{
+  std::size_t attempts = 0;
+  for (const auto& [id, link] : peers_) {
+    attempts += link.attempts_.size();
+  }
+  return attempts;
+}
+
 std::size_t
 PeerLinks::HeldBytes() const
 {
--- a/packages/node/PeerLinks.h
+++ b/packages/node/PeerLinks.h
@@ -76,18 +76,31 @@
 
   bool HasPendingOutput() const;
 
+  /** The bound address, with the port that the system chose if port 0 was requested. */
+  Poco::Net::SocketAddress Address() const { return listener_.address(); }
+
+  /** Attempts that were sent on open links and have not ended. */
+  std::size_t AttemptsInFlight() const;
+
   /** Memory of the links: incomplete frames, and frames that are not completely sent. */
   std::size_t HeldBytes() const;
 
 private:
+  struct AttemptInFlight
+  {
+    /** Offset in the output stream at which its frame starts. */
+    std::uint64_t start_ = 0;
+    /** Size of the body of its answer, once the first part of it has arrived. */
+    std::uint64_t bodyBytes_ = 0;
+  };
+
   struct PeerLink
   {
     NodeId peer_;
     TcpChannel channel_;
     FrameBuffer input_;
     LinkHealth health_;
-    /** Offset in the output stream at which the frame of each attempt in flight starts. */
-    std::map<AttemptId, std::uint64_t> attempts_;
+    std::map<AttemptId, AttemptInFlight> attempts_;
     std::uint64_t queuedBytes_ = 0;
     /** Requests other than calls that wait for a reply. */
     std::uint32_t pendingOtherRequests_ = 0;
