Do not take all answers for late after a wrong era

The position was forgotten each time, and the node read the newest configuration again without a pause, for good.

Change: an answer with a lower era is late only if its call was started before the higher one was seen. Otherwise the lower era is the current one.

Evidence: store_sync::wrong_era_does_not_repeat_reads_for_good fails without the change; store_restore::* hold.

--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -112,14 +112,28 @@
                                          { "since_reply_us", std::to_string(silence.count()) } } });
 }
 
-/** Records the era of the store that answered a call. Positions of an earlier era are given out
- * again, so the newest configuration must be read. Announcements may be lost, also that of this
- * node with its departure. */
+/** Whether the call was started in the era that is known now. A call from before the first answer
+ * was.
+ */
+bool
+IsStartedInCurrentEra(const StoreState& aStore, StoreTask aTask)
+{
+  const auto startedIn = aStore.callEras_.find(aTask);
+  return startedIn == aStore.callEras_.end() || !startedIn->second ||
+         startedIn->second == aStore.era_;
+}
+
+/** Records the era of the store that answered a call. Positions of another era are given out again,
+ * so the newest configuration must be read. Announcements may be lost, also that of this node with
+ * its departure. */
 void
-RecordEra(NodeState& aState, ReduceContext& aContext, std::uint64_t aEra)
+RecordEra(NodeState& aState, ReduceContext& aContext, StoreTask aTask, std::uint64_t aEra)
 {
   StoreState& store = aState.store_;
-  if (store.era_ && aEra <= *store.era_) {
+  // A lower era is that of a late answer, unless the call was started after the higher one was
+  // seen: then that one was wrong, and would make all later answers count as late.
+  const bool isLate = store.era_ && aEra < *store.era_ && !IsStartedInCurrentEra(store, aTask);
+  if (store.era_ == aEra || isLate) {
     return;
   }
   const auto print = [](const std::optional<std::uint64_t>& aNumber) {
@@ -140,14 +154,12 @@
 }
 
 /** Whether the call was started and answered in the current era, so that what it says about the
- * content of the store holds. A call from before the first answer was started in that era. */
+ * content of the store holds. */
 bool
 IsOfCurrentEra(const StoreState& aStore, const StoreCallFinished& aEvent)
 {
-  const auto startedIn = aStore.callEras_.find(aEvent.task_);
-  const bool isStartedInIt =
-    startedIn == aStore.callEras_.end() || !startedIn->second || startedIn->second == aStore.era_;
-  return isStartedInIt && (!aEvent.era_ || aEvent.era_ == aStore.era_);
+  return IsStartedInCurrentEra(aStore, aEvent.task_) &&
+         (!aEvent.era_ || aEvent.era_ == aStore.era_);
 }
 
 struct ReplyHandler
@@ -267,7 +279,7 @@
 HandleStoreCallFinished(NodeState& aState, ReduceContext& aContext, const StoreCallFinished& aEvent)
 {
   if (aEvent.era_) {
-    RecordEra(aState, aContext, *aEvent.era_);
+    RecordEra(aState, aContext, aEvent.task_, *aEvent.era_);
   }
   const bool isOfCurrentEra = IsOfCurrentEra(aState.store_, aEvent);
   aState.store_.callEras_.erase(aEvent.task_);
--- a/packages/policy/tests/StoreSyncTest.cpp
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -38,6 +38,23 @@
   cr_expect_geq(StoreCalls(world, StoreTask::kConfiguration).size(), 1U);
 }
 
+/** Guards against a wrong era that makes all later answers count as late: the node would read the
+ * configuration again without a pause, for good. */
+Test(store_sync, wrong_era_does_not_repeat_reads_for_good)
+{
+  RoutedSimulation world(1);
+  const auto answer = [&](std::uint64_t aEra) {
+    world.Inject(
+      0, StoreCallFinished{ StoreTask::kConfiguration, ConfigurationRead{ {}, 5, 0 }, aEra });
+    world.Run(kTickInterval);
+    return StoreCalls(world, StoreTask::kConfiguration).back();
+  };
+  cr_expect(std::holds_alternative<AwaitConfiguration>(answer(1)));
+  cr_expect(std::holds_alternative<ReadConfiguration>(answer(1'000'000)));
+  cr_expect(std::holds_alternative<ReadConfiguration>(answer(1)));
+  cr_expect(std::holds_alternative<AwaitConfiguration>(answer(1)));
+}
+
 /** Guards against a configuration that is replaced by an older one. */
 Test(store_sync, versions_never_fall)
 {
