Guard the reading of requests that were sent ahead against exceptions

Cause: the loop that reads requests sent ahead ran outside the guard of socket handlers, so an exception in one of them would have ended the process (found by reading, not seen). It reads one connection at a time now, each under the guard.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -3,7 +3,6 @@
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <spdlog/spdlog.h>
-#include <utility>
 
 namespace fulmarway {
 
@@ -23,12 +22,12 @@
 constexpr Duration kSilenceBeforeEviction = std::chrono::seconds(2);
 
 /** The node has no capacity now, and the request was not run. */
-const std::string kRefusal = "HTTP/1.1 503 Service Unavailable\r\n"
-                             "Fulmarway-Verdict: not-run\r\n"
-                             "Fulmarway-Reason: shed-by-queue\r\n"
-                             "Retry-After: 1\r\n"
-                             "Content-Length: 0\r\n"
-                             "Connection: close\r\n\r\n";
+constexpr std::string_view kRefusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                      "Fulmarway-Verdict: not-run\r\n"
+                                      "Fulmarway-Reason: shed-by-queue\r\n"
+                                      "Retry-After: 1\r\n"
+                                      "Content-Length: 0\r\n"
+                                      "Connection: close\r\n\r\n";
 
 /** Refuses a connection above the limit. To the caller this is the same as a full queue. */
 void
@@ -214,17 +213,20 @@
 }
 
 HttpServerEvents
-HttpServer::ReadNextRequests(Instant aNow)
+HttpServer::ReadRequestSentAhead(Instant aNow)
 {
   HttpServerEvents events;
-  for (const std::uint64_t id : std::exchange(repliedWithInput_, {})) {
-    const auto found = connections_.find(id);
-    if (found != connections_.end()) {
-      found->second.hasInputAhead_ = false;
-      ReadRequest(id, aNow, events);
-      Flush(id, events);
-      Recount(id);
-    }
+  if (repliedWithInput_.empty()) {
+    return events;
+  }
+  const std::uint64_t id = repliedWithInput_.front();
+  repliedWithInput_.pop_front();
+  const auto found = connections_.find(id);
+  if (found != connections_.end()) {
+    found->second.hasInputAhead_ = false;
+    ReadRequest(id, aNow, events);
+    Flush(id, events);
+    Recount(id);
   }
   return events;
 }
@@ -267,9 +269,10 @@
 HttpServer::RefuseIncomplete(std::uint64_t aId)
 {
   HttpServerEvents ignored; // An incomplete request has no exchange.
-  CloseAfter(aId, connections_.at(aId), kRefusal);
+  CloseAfter(aId, connections_.at(aId), std::string(kRefusal));
   if (Flush(aId, ignored)) {
-    // The client reads no replies either, and the connection was to be given up.
+    // The reply does not fit into the buffer of the socket. Waiting for the client would keep its
+    // slot.
     CloseConnection(aId, ignored);
   }
 }
@@ -386,6 +389,7 @@
   for (const std::uint64_t id : overdue) {
     Refuse(id, connections_.at(id), { 408, { "head", "took longer than the limit" } });
     Flush(id, ignored);
+    Recount(id);
   }
   for (const std::uint64_t id : idle) {
     CloseConnection(id, ignored);
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -11,6 +11,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -72,12 +73,13 @@
                          std::string_view aBody,
                          Instant aNow);
 
-  /** Reads at most one request that was sent ahead on each connection that was replied to, so that
-   * a client with many of them does not hold up the others. */
-  HttpServerEvents ReadNextRequests(Instant aNow);
+  /** Connections that were replied to and may hold a request that was sent ahead. */
+  std::size_t ConnectionsWithInputAhead() const { return repliedWithInput_.size(); }
 
-  /** Whether ReadNextRequests() has anything to read. */
-  bool HasRequestsSentAhead() const { return !repliedWithInput_.empty(); }
+  /** Reads the next request of the connection that has waited for this the longest. Call it once
+   * for each of ConnectionsWithInputAhead() before other input is read, so that a client that sends
+   * ahead does not hold up the others. */
+  HttpServerEvents ReadRequestSentAhead(Instant aNow);
 
   /** Closes each connection after its next reply; new connections are still accepted. */
   void CloseAfterReplies() { closesAfterReply_ = true; }
@@ -116,7 +118,7 @@
     bool closing_ = false;
     /** The current request is HEAD, so its reply has no body. */
     bool isHeadRequest_ = false;
-    /** The last reply left input that is still to be parsed by ReadNextRequests(). */
+    /** The last reply left input that is still to be parsed by ReadRequestSentAhead(). */
     bool hasInputAhead_ = false;
     Instant lastUsedAt_;
     /** When the first byte of an incomplete request was received. */
@@ -158,7 +160,7 @@
   std::unordered_map<ExchangeId, std::uint64_t> exchanges_;
   /** Connections that may hold a request that was sent ahead of the last reply; some may be closed.
    */
-  std::vector<std::uint64_t> repliedWithInput_;
+  std::deque<std::uint64_t> repliedWithInput_;
   std::size_t heldBytes_ = 0;
 };
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -2,7 +2,6 @@
 
 #include "logservice/LogProtocol.h"
 #include "policy/Lifecycle.h"
-#include "policy/RequestMemory.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
@@ -137,7 +136,7 @@
     const auto ready = poller_.Poll(std::chrono::ceil<std::chrono::milliseconds>(wait));
     now_ = clock_.now_();
     for (const ReadySocket& socket : ready) {
-      HandleReadySafely(socket);
+      RunSafely(socket.key_, [&] { HandleReady(socket); });
       LimitHeldBytes();
     }
     ReadRequestsSentAhead();
@@ -158,42 +157,25 @@
   }
 }
 
-void
-Node::CountHeldBytes()
-{
-  held_ = { callers_.HeldBytes(),
-            admin_.HeldBytes(),
-            heartbeats_ ? heartbeats_->HeldBytes() : 0,
-            peers_.HeldBytes(),
-            backend_.HeldBytes() + healthChecks_.HeldBytes(),
-            (store_ ? store_->HeldBytes() : 0) + (logService_ ? logService_->HeldBytes() : 0),
-            CountRequestBytes(state_) };
-}
-
-void
-Node::LimitHeldBytes()
-{
-  held_.callers_ = callers_.HeldBytes();
-  while (Sum(held_) > settings_.maxHeldBytes_ && callers_.ReleaseMemory(now_)) {
-    ++counters_.releasedConnections_;
-    held_.callers_ = callers_.HeldBytes();
-  }
-}
-
 bool
 Node::HasRequestsSentAhead() const
 {
-  return callers_.HasRequestsSentAhead() || admin_.HasRequestsSentAhead() ||
-         (heartbeats_ && heartbeats_->HasRequestsSentAhead());
+  return callers_.ConnectionsWithInputAhead() > 0 || admin_.ConnectionsWithInputAhead() > 0 ||
+         (heartbeats_ && heartbeats_->ConnectionsWithInputAhead() > 0);
 }
 
 void
 Node::ReadRequestsSentAhead()
 {
-  HandleCallerEvents(callers_.ReadNextRequests(now_));
-  HandleAdminEvents(admin_.ReadNextRequests(now_));
+  const auto readEach = [this](HttpServer& aServer, SocketRole aRole, auto aHandle) {
+    for (std::size_t left = aServer.ConnectionsWithInputAhead(); left > 0; --left) {
+      RunSafely({ aRole, 0 }, [&] { (this->*aHandle)(aServer.ReadRequestSentAhead(now_)); });
+    }
+  };
+  readEach(callers_, SocketRole::kCallerConnection, &Node::HandleCallerEvents);
+  readEach(admin_, SocketRole::kAdminConnection, &Node::HandleAdminEvents);
   if (heartbeats_) {
-    HandleHeartbeatEvents(heartbeats_->ReadNextRequests(now_));
+    readEach(*heartbeats_, SocketRole::kHeartbeatConnection, &Node::HandleHeartbeatEvents);
   }
 }
 
@@ -278,19 +260,19 @@
 }
 
 void
-Node::HandleReadySafely(const ReadySocket& aReady)
+Node::RunSafely(const SocketKey& aKey, const std::function<void()>& aHandler)
 {
   try {
-    HandleReady(aReady);
+    aHandler();
   } catch (const std::exception& error) {
     // The state of the reducer is not involved. The connection gets no further events and is closed
     // by its timeout.
     spdlog::error("event=handler_failed role={} connection={} error=\"{}\"",
-                  static_cast<int>(aReady.key_.role_),
-                  aReady.key_.id_,
+                  static_cast<int>(aKey.role_),
+                  aKey.id_,
                   error.what());
-    if (IsConnection(aReady.key_.role_)) {
-      poller_.Remove(aReady.key_);
+    if (IsConnection(aKey.role_)) {
+      poller_.Remove(aKey);
     }
   }
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -70,8 +70,8 @@
   void ProcessSignals(const ReceivedSignals& aSignals);
   /** Enforces timeouts on all connections, starts health checks and reports omitted log lines. */
   void CheckSockets();
-  /** Handles the events of a socket. An exception ends its connection and not the process. */
-  void HandleReadySafely(const ReadySocket& aReady);
+  /** Runs the handler of a socket. An exception ends its connection and not the process. */
+  void RunSafely(const SocketKey& aKey, const std::function<void()>& aHandler);
   void HandleReady(const ReadySocket& aReady);
   /** Counts what the process holds. Between two counts, CountAccepted() adds to it. */
   void CountHeldBytes();
@@ -79,6 +79,7 @@
   /** Keeps the sum within the limit at the cost of connections of callers. */
   void LimitHeldBytes();
   bool HasRequestsSentAhead() const;
+  /** Reads at most one request that was sent ahead of each connection. */
   void ReadRequestsSentAhead();
   void HandleCallerEvents(HttpServerEvents aEvents);
   void HandleAdminEvents(HttpServerEvents aEvents);
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -38,7 +38,9 @@
         Record(server_.HandleReady(ready, now_));
       }
     }
-    Record(server_.ReadNextRequests(now_));
+    for (std::size_t left = server_.ConnectionsWithInputAhead(); left > 0; --left) {
+      Record(server_.ReadRequestSentAhead(now_));
+    }
   }
 
   /** Whether the condition becomes true. */
