Wait longer for a peer while the store does not answer a restarted node

What callers would see: requests at a backend server that had left, after a restart of its node during an outage of the store (DRAIN).

Cause: a new process used its backend server after 1 s without the store, and the peers that knew of the departure probe it later than that in some cases.

Change: while the store does not answer, the wait is 5 s, and ends with the first answer of a peer, which is asked as soon as it sends the record of the predecessor. Until a peer has come, the node has neither a configuration nor callers on other VMs.

--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -95,10 +95,14 @@
 KnowsDepartures(const NodeState& aState, Instant aNow)
 {
   const MembershipState& membership = aState.membership_;
-  const bool hasAskedPeers = !membership.hasPredecessor_ || membership.isKnownToPeer_ ||
-                             (membership.announcedNodes_.empty() && membership.members_.empty());
-  return !aState.settings_.usesStore_ || (aState.store_.hasListed_ && hasAskedPeers) ||
-         aNow >= membership.startedAt_ + kDepartureLookupTimeout;
+  if (!aState.settings_.usesStore_ || membership.isKnownToPeer_) {
+    return true;
+  }
+  const bool mayAskPeer = membership.hasPredecessor_ &&
+                          !(membership.announcedNodes_.empty() && membership.members_.empty());
+  const Duration wait =
+    aState.store_.reachable_ ? kDepartureLookupTimeout : kDepartureLookupTimeoutInOutage;
+  return (aState.store_.hasListed_ && !mayAskPeer) || aNow >= membership.startedAt_ + wait;
 }
 
 /** Derives the health of a backend server that sends heartbeats from these. */
--- a/packages/policy/Lifecycle.h
+++ b/packages/policy/Lifecycle.h
@@ -22,6 +22,9 @@
 /** Longest time after its start that a node waits for the departures of earlier processes before it
  * uses its backend server: that of one call to the store. */
 inline constexpr Duration kDepartureLookupTimeout = std::chrono::seconds(1);
+/** The same while the store does not answer. Until a peer probes the node, it has neither a
+ * configuration nor callers on other VMs, so that the wait delays little. */
+inline constexpr Duration kDepartureLookupTimeoutInOutage = std::chrono::seconds(5);
 
 /** Applies a heartbeat of the local backend server: incarnation, slots, and drain state. */
 void
--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -44,8 +44,10 @@
     // Recorded by an earlier process of this node; it must stay in the record that replaces it.
     self.departure_ = aRecord.departure_;
   }
-  aContext.state_.hasPredecessor_ =
-    aContext.state_.hasPredecessor_ || seen.incarnation_ != self.identity_.incarnation_;
+  if (seen.incarnation_ != self.identity_.incarnation_ && !aContext.state_.isKnownToPeer_) {
+    aContext.state_.hasPredecessor_ = true;
+    aContext.state_.nextProbeAt_ = aContext.now_; // A peer may know more than this record.
+  }
   const bool otherIncarnation = seen.generation_ > self.identity_.generation_ ||
                                 (seen.generation_ == self.identity_.generation_ &&
                                  seen.incarnation_ != self.identity_.incarnation_);
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -282,10 +282,6 @@
     const NodeId id = aRecord.identity_.id_;
     if (id == state.self_.identity_.id_ || state.members_.contains(id)) {
       MergeRecord(aContext, aRecord, RecordSource::kRecentChange);
-      if (state.hasPredecessor_ && !state.isKnownToPeer_) {
-        // A peer may know more of the predecessor than this announcement.
-        state.nextProbeAt_ = aNow;
-      }
     } else if (state.announcedNodes_.size() < kMaxAnnouncedNodes) {
       state.announcedNodes_[id] = AnnouncedNode{ aRecord.identity_.peerAddress_ };
     }
