--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -218,7 +218,7 @@
 /** Progress of the calls to the store, which holds the configuration and the announcements. */
 struct StoreState
 {
-  /** Highest era of the store that an answer has named; nullopt before the first. */
+  /** Era of the store as the answers name it, see RecordEra(); nullopt before the first. */
   std::optional<std::uint64_t> era_;
   /** For each call in flight, `era_` when it was started. */
   std::map<StoreTask, std::optional<std::uint64_t>> callEras_;
--- a/packages/policy/tests/RequestMemoryTest.cpp
+++ b/packages/policy/tests/RequestMemoryTest.cpp
@@ -14,9 +14,9 @@
 
 constexpr std::size_t kLongBody = std::size_t{ 1 } << 20;
 
-/** The effects of a call for the backend server beside the node, while aFreeBytes are free. */
-Effects
-OfferCall(const RoutedSimulation& aWorld, std::size_t aBodyBytes, std::size_t aFreeBytes)
+/** A call for the backend server beside the node. */
+LinkMessageArrived
+MakeCall(const RoutedSimulation& aWorld, std::size_t aBodyBytes)
 {
   CallRequest call;
   call.attempt_ = AttemptId{ 1 };
@@ -24,7 +24,14 @@
   call.request_.body_.assign(aBodyBytes, 'x');
   call.request_.routed_ = RoutedPart{};
   call.remaining_ = std::chrono::seconds(1);
-  Event event{ aWorld.now_, 1, 0, LinkMessageArrived{ LinkId{ 1 }, NodeId{ 7 }, call } };
+  return { LinkId{ 1 }, NodeId{ 7 }, call };
+}
+
+/** The effects of a call for the backend server beside the node, while aFreeBytes are free. */
+Effects
+OfferCall(const RoutedSimulation& aWorld, std::size_t aBodyBytes, std::size_t aFreeBytes)
+{
+  Event event{ aWorld.now_, 1, 0, MakeCall(aWorld, aBodyBytes) };
   event.freeBytes_ = aFreeBytes;
   return Reduce(aWorld.nodes_[0], event).result_;
 }
@@ -54,13 +61,7 @@
 Test(request_memory, bodies_of_accepted_requests_are_counted)
 {
   RoutedSimulation world(1);
-  CallRequest call;
-  call.attempt_ = AttemptId{ 1 };
-  call.request_.service_ = world.nodes_[0].settings_.identity_.service_;
-  call.request_.body_.assign(kLongBody, 'x');
-  call.request_.routed_ = RoutedPart{};
-  call.remaining_ = std::chrono::seconds(1);
   cr_expect_eq(CountRequestBytes(world.nodes_[0]), 0U);
-  world.Inject(0, LinkMessageArrived{ LinkId{ 1 }, NodeId{ 7 }, call });
+  world.Inject(0, MakeCall(world, kLongBody));
   cr_expect_eq(CountRequestBytes(world.nodes_[0]), kLongBody);
 }
