Keep the era of the store when a late answer to a first call arrives

What callers could see: a change that is not in force on a restarted node until its read ends, up to 10 s in failure domains of ten nodes or more, unless a peer brings it first (CONFIG).

Cause: a call that was started before the first answer has no era, and its answer was never taken for late. An answer from before the return of the store that arrived after one from after it set the era back, and the position that it carried counted as one of the current era, where offsets are given out again. Same class as: a statement of the store kept beyond its copy.

Ruled out: an answer without an era (older stores) is not affected; a wrong, higher era is still corrected by the next answer (store_sync::wrong_era_does_not_repeat_reads_for_good holds).

Evidence: the test failed before (era 1, next call waits at the old position).

--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -132,7 +132,10 @@
   StoreState& store = aState.store_;
   // A lower era is that of a late answer, unless the call was started after the higher one was
   // seen: then that one was wrong, and would make all later answers count as late.
-  const bool isLate = store.era_ && aEra < *store.era_ && !IsStartedInCurrentEra(store, aTask);
+  const auto startedIn = store.callEras_.find(aTask);
+  const bool isStartedLater =
+    startedIn != store.callEras_.end() && startedIn->second && startedIn->second == store.era_;
+  const bool isLate = store.era_ && aEra < *store.era_ && !isStartedLater;
   if (store.era_ == aEra || isLate) {
     return;
   }
--- a/packages/policy/tests/StoreSyncTest.cpp
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -55,6 +55,19 @@
   cr_expect(std::holds_alternative<AwaitConfiguration>(answer(1)));
 }
 
+/** Guards against a late answer that sets the era back: a position of the earlier era, which the
+ * store has given out again, would then count as one of the current era. */
+Test(store_sync, late_answer_to_a_call_from_before_the_first_does_not_set_the_era_back)
+{
+  RoutedSimulation world(1);
+  world.Inject(0, StoreCallFinished{ StoreTask::kListing, AnnouncementsListed{}, 2 });
+  world.Inject(0, StoreCallFinished{ StoreTask::kConfiguration, ConfigurationRead{ {}, 5, 0 }, 1 });
+  world.Run(kTickInterval);
+  cr_expect_eq(world.nodes_[0].store_.era_, 2U);
+  cr_expect(
+    std::holds_alternative<ReadConfiguration>(StoreCalls(world, StoreTask::kConfiguration).back()));
+}
+
 /** Guards against a configuration that is replaced by an older one. */
 Test(store_sync, versions_never_fall)
 {
