Return a departure to an incarnation whose record came through others

What callers could see: a backend server that had left gets requests again after a restart of its node, for good (DRAIN).

Cause: a peer returned the departure to the new incarnation only if it got the new record, which does not have it, from that node itself. If a third node brought the record, the departure was overwritten and was then in no table.

Change: the entry of a member keeps the latest departure of all incarnations. It is sent to the current one whenever that lacks it, and with each answer to its probes, because one datagram may be lost.

Ruled out: faults of calls to the store; without them as many seeds failed.

Evidence: the new test failed before at both returns.

--- a/packages/policy/FailureDetector.cpp
+++ b/packages/policy/FailureDetector.cpp
@@ -206,10 +206,13 @@
 HandleProbe(MembershipContext& aContext, const GossipMessage& aMessage, const Probe& aBody)
 {
   const auto sender = aContext.state_.members_.find(aMessage.sender_);
+  std::optional<MemberRecord> missed;
   // An unknown sender, for example one that uses this node as a seed, gets this node's record.
-  const MemberRecord* first = sender == aContext.state_.members_.end()
-                                ? &aContext.state_.self_
-                                : RecordToRefute(sender->second);
+  const MemberRecord* first = &aContext.state_.self_;
+  if (sender != aContext.state_.members_.end()) {
+    missed = RecordWithMissedDeparture(aContext, sender->second);
+    first = missed ? &*missed : RecordToRefute(sender->second);
+  }
   SendWithChanges(aContext,
                   aMessage.senderAddress_,
                   ProbeAck{ aBody.number_, aContext.state_.self_.identity_.id_ },
--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -172,6 +172,23 @@
   aEntry.record_.configVersion_ = std::max(aEntry.record_.configVersion_, aRecord.configVersion_);
 }
 
+/** Keeps the departure in a record of any incarnation, and sends it to the current one if that does
+ * not know of it. */
+void
+KeepDeparture(MembershipContext& aContext, MemberEntry& aEntry, const MemberRecord& aRecord)
+{
+  if (IsLaterDeparture(aRecord.departure_, aEntry.latestDeparture_)) {
+    aEntry.latestDeparture_ = aRecord.departure_;
+  }
+  auto missed = RecordWithMissedDeparture(aContext, aEntry);
+  if (missed && MayBeRunning(missed->state_)) {
+    GossipMessage message = MakeMessage(aContext.state_, RecordsReply{});
+    const std::string address = missed->identity_.peerAddress_;
+    message.updates_.push_back(std::move(*missed));
+    SendMessage(aContext, address, std::move(message));
+  }
+}
+
 } // namespace
 
 std::uint64_t
@@ -183,6 +200,17 @@
   return mixed ^ (mixed >> 31);
 }
 
+std::optional<MemberRecord>
+RecordWithMissedDeparture(const MembershipContext& aContext, const MemberEntry& aEntry)
+{
+  if (!IsLaterDeparture(aEntry.latestDeparture_, aEntry.record_.departure_)) {
+    return std::nullopt;
+  }
+  MemberRecord record = CurrentRecord(aContext.state_, aEntry, aContext.now_);
+  record.departure_ = aEntry.latestDeparture_;
+  return record;
+}
+
 bool
 MergeRecord(MembershipContext& aContext, const MemberRecord& aRecord, RecordSource aSource)
 {
@@ -200,6 +228,7 @@
     }
   } else if (!Wins(aRecord, known->second.record_)) {
     RefreshVersions(aContext, known->second, aRecord);
+    KeepDeparture(aContext, known->second, aRecord);
     return false;
   }
   MemberEntry& entry = state.members_[id];
@@ -216,6 +245,7 @@
   if (isNew) {
     RecordSuccessorIncarnation(state, aRecord.identity_);
   }
+  KeepDeparture(aContext, entry, aRecord);
   ApplyState(aContext, entry, sameIncarnation);
   if (aRecord.identity_.domain_ != state.self_.identity_.domain_) {
     state.domains_.try_emplace(aRecord.identity_.domain_, DomainReachability{ aContext.now_ });
--- a/packages/policy/MemberTable.h
+++ b/packages/policy/MemberTable.h
@@ -34,6 +34,11 @@
 bool
 MergeRecord(MembershipContext& aContext, const MemberRecord& aRecord, RecordSource aSource);
 
+/** The record of the member with a departure that its current incarnation does not know of; nullopt
+ * if there is none. */
+std::optional<MemberRecord>
+RecordWithMissedDeparture(const MembershipContext& aContext, const MemberEntry& aEntry);
+
 /** Records a contact with the current incarnation of the member, which clears a suspicion. */
 void
 RecordContact(MembershipContext& aContext, MemberEntry& aEntry);
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -1,6 +1,5 @@
 #include "policy/Membership.h"
 
-#include "policy/BackendHeartbeats.h"
 #include "policy/FailureDetector.h"
 #include "policy/GossipQueue.h"
 #include "policy/MemberDigest.h"
@@ -91,19 +90,6 @@
   SendMessage(aContext, aMessage.senderAddress_, std::move(request));
 }
 
-/** Sends a restarted node the record that its new one has replaced, if only that has a departure.
- */
-void
-ReturnReplacedDeparture(MembershipContext& aContext, const MemberRecord& aReplaced)
-{
-  const MemberRecord& current = aContext.state_.members_.at(aReplaced.identity_.id_).record_;
-  if (IsLaterDeparture(aReplaced.departure_, current.departure_)) {
-    GossipMessage message = MakeMessage(aContext.state_, RecordsReply{});
-    message.updates_.push_back(aReplaced);
-    SendMessage(aContext, current.identity_.peerAddress_, std::move(message));
-  }
-}
-
 /** Requests moved incarnations. On the wire this is a request for the record of the requesting node
  * itself, see HandleRecordsRequest(). */
 void
@@ -254,17 +240,10 @@
     const RecordSource source = std::holds_alternative<RecordsReply>(aMessage.body_)
                                   ? RecordSource::kReconciliation
                                   : RecordSource::kRecentChange;
-    const auto sender = aContext.state_.members_.find(aMessage.sender_);
-    const bool hasDeparture =
-      sender != aContext.state_.members_.end() && sender->second.record_.departure_;
-    const auto replaced = hasDeparture ? std::optional(sender->second.record_) : std::nullopt;
     bool changed = false;
     for (const MemberRecord& record : aMessage.updates_) {
       changed = MergeRecord(aContext, record, source) || changed;
     }
-    if (changed && replaced) {
-      ReturnReplacedDeparture(aContext, *replaced);
-    }
     if (changed && source == RecordSource::kReconciliation) {
       aContext.state_.nextDigestAt_ =
         std::min(aContext.state_.nextDigestAt_, aNow + kDigestIntervalAfterChanges);
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -89,6 +89,9 @@
   std::optional<Instant> lastContactAt_;
   /** When this node last sent the member its own record for refutation. */
   std::optional<Instant> refutableRecordSentAt_;
+  /** The latest departure in the records of all incarnations. A new incarnation that does not know
+   * of it yet replaces `record_` by one without it. */
+  std::optional<BackendDeparture> latestDeparture_;
 
   bool operator==(const MemberEntry&) const = default;
 };
--- a/packages/policy/tests/MembershipRecordTest.cpp
+++ b/packages/policy/tests/MembershipRecordTest.cpp
@@ -189,3 +189,31 @@
            aOutgoing.message_.updates_[0].ticketEpoch_ == 8;
   }));
 }
+
+/** Guards against a departure that is lost when the record of a new incarnation, which does not
+ * know of it, arrives through a third node: nobody returned it then. */
+Test(membership_record, departure_is_returned_to_a_new_incarnation_that_others_announce)
+{
+  const auto hasDeparture = [](const GossipOutput& aOutput) {
+    return std::any_of(
+      aOutput.messages_.begin(), aOutput.messages_.end(), [](const OutgoingGossip& aMessage) {
+        const auto& updates = aMessage.message_.updates_;
+        return aMessage.address_ == kPeer && !updates.empty() &&
+               updates.front().identity_.id_ == NodeIdOf(kPeer) && updates.front().departure_;
+      });
+  };
+  MemberRecord departed = PeerRecord(1, 1, 5, MemberState::kDraining);
+  departed.departure_ = BackendDeparture{ "i", 1, 3, true };
+  auto step = DeliverRecord(NewMembership(), departed, kStart);
+  step = DeliverRecord(std::move(step.state_), PeerRecord(2, 2, 1, MemberState::kAlive), kStart);
+  cr_expect(hasDeparture(step.result_));
+  // The message may be lost, so that each answer to a probe has the departure, too.
+  const GossipMessage probe{ NodeIdOf(kPeer), { 0, 2 }, kPeer, 0, Probe{ 1, {} }, {} };
+  step = HandleGossip(std::move(step.state_), probe, 7, kStart);
+  cr_expect(hasDeparture(step.result_));
+  // The incarnation has taken it over.
+  MemberRecord informed = PeerRecord(2, 2, 2, MemberState::kAlive);
+  informed.departure_ = departed.departure_;
+  step = DeliverRecord(std::move(step.state_), informed, kStart);
+  cr_expect_not(hasDeparture(step.result_));
+}
