Let only peers with a complete table vouch for departures

What callers could see: a backend server that had left gets requests again for up to some seconds, when its node and other nodes restart together (DRAIN).

Cause: a restarted node ended its wait for departures with the first answer of any peer. A peer that had started in the same moment answered, too, and knew nothing: in the trace of the soak the node was in use after 7 to 1,036 ms, while peers that had run for longer still had the departure.

Change: an answer to a probe says whether its sender has run for 3 s, in which it has compared its table with another one (every 2 s). Only such an answer ends the wait.

The new test failed before.

--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -248,6 +248,8 @@
   std::uint64_t number_ = 0;
   /** The node that was probed. */
   NodeId subject_;
+  /** The subject has run for long enough to have the records of all members. */
+  bool isEstablished_ = false;
 
   bool operator==(const ProbeAck&) const = default;
 };
--- a/packages/policy/FailureDetector.cpp
+++ b/packages/policy/FailureDetector.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t kMaxProbesPerAnnouncedNode = 3;
 /** One in this many probes carries this node's record, which keeps its ticket epoch current. */
 constexpr std::uint64_t kLocalRecordOneIn = 8;
+/** Time after which a process has compared its table with a peer, which it does every 2 s. */
+constexpr Duration kTableCompleteAfter = std::chrono::seconds(3);
 
 std::string
 AddressOf(const MembershipState& aState, NodeId aNode)
@@ -215,7 +217,9 @@
   }
   SendWithChanges(aContext,
                   aMessage.senderAddress_,
-                  ProbeAck{ aBody.number_, aContext.state_.self_.identity_.id_ },
+                  ProbeAck{ aBody.number_,
+                            aContext.state_.self_.identity_.id_,
+                            aContext.now_ >= aContext.state_.startedAt_ + kTableCompleteAfter },
                   first);
 }
 
@@ -223,7 +227,9 @@
 HandleProbeAck(MembershipContext& aContext, const GossipMessage& aMessage, const ProbeAck& aBody)
 {
   MembershipState& state = aContext.state_;
-  state.isKnownToPeer_ = state.isKnownToPeer_ || aBody.subject_ == aMessage.sender_;
+  // A peer that has just started, too, may not have the departure yet.
+  state.isKnownToPeer_ =
+    state.isKnownToPeer_ || (aBody.subject_ == aMessage.sender_ && aBody.isEstablished_);
   const auto pending = state.pendingProbes_.find(aBody.number_);
   if (pending == state.pendingProbes_.end() || pending->second.target_ != aBody.subject_) {
     return;
--- a/packages/policy/GossipQueue.cpp
+++ b/packages/policy/GossipQueue.cpp
@@ -54,7 +54,7 @@
 struct BodyBytes
 {
   std::size_t operator()(const Probe&) const { return 8 + kIdBytes; }
-  std::size_t operator()(const ProbeAck&) const { return 8 + kIdBytes; }
+  std::size_t operator()(const ProbeAck&) const { return 8 + kIdBytes + 1; }
   std::size_t operator()(const ProbeRequest&) const { return 8 + kIdBytes; }
   std::size_t operator()(const DigestExchange& aBody) const
   {
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -171,8 +171,8 @@
   std::map<NodeId, std::uint32_t> updates_;
   std::map<std::uint64_t, PendingProbe> pendingProbes_;
   std::map<NodeId, AnnouncedNode> announcedNodes_;
-  /** A peer has answered a probe of this incarnation. It has sent this node the departure of the
-   * incarnation before, if it knew one. */
+  /** A peer with a complete table has answered a probe of this incarnation. It has sent this node
+   * the departure of the incarnation before, if there was one. */
   bool isKnownToPeer_ = false;
   /** A record of an earlier incarnation of this node has arrived. */
   bool hasPredecessor_ = false;
--- a/packages/policy/tests/MembershipRecordTest.cpp
+++ b/packages/policy/tests/MembershipRecordTest.cpp
@@ -217,3 +217,23 @@
   step = DeliverRecord(std::move(step.state_), informed, kStart);
   cr_expect_not(hasDeparture(step.result_));
 }
+
+/** Guards against a restarted node that takes the answer of a peer which has just started, too, for
+ * proof that its backend server has not left. */
+Test(membership_record, peer_that_has_just_started_does_not_vouch_for_departures)
+{
+  const GossipMessage probe{ NodeIdOf(kPeer), { 0, 1 }, kPeer, 0, Probe{ 1, {} }, {} };
+  const auto answerAt = [&](Duration aAge) {
+    const auto step = HandleGossip(NewMembership(), probe, 7, kStart + aAge);
+    for (const OutgoingGossip& outgoing : step.result_.messages_) {
+      if (const auto* ack = std::get_if<ProbeAck>(&outgoing.message_.body_)) {
+        GossipMessage message{ NodeIdOf(kPeer), { 0, 1 }, kPeer, 0, *ack, {} };
+        std::get<ProbeAck>(message.body_).subject_ = NodeIdOf(kPeer);
+        return HandleGossip(NewMembership(), message, 7, kStart).state_.isKnownToPeer_;
+      }
+    }
+    return false;
+  };
+  cr_expect_not(answerAt(500ms));
+  cr_expect(answerAt(10s));
+}
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -469,7 +469,7 @@
 void
 serialize(Archive& aArchive, ProbeAck& aValue)
 {
-  aArchive(aValue.number_, aValue.subject_);
+  aArchive(aValue.number_, aValue.subject_, aValue.isEstablished_);
 }
 
 template<class Archive>
