Wait for the list of the store before a restarted node serves

What callers could see: a backend server that had left gets requests after a restart of its node, until its departure has been read (DRAIN).

Cause: the short wait of 1 s held as soon as any call to the store had been answered, while the list with the departure was lost or not read yet. Class: an answer of the store to one question taken as an answer to another.

Change: 1 s counts from the first complete list, in which peers can add what the store has lost; without a list the wait is 5 s from the start.

Tests: simulations of one node never answered its first listing, so that they started after the 1 s that no real call takes without a result. The harness answers it now, as it did with more nodes; the test of the first calls leaves it pending, as before.

--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -100,9 +100,11 @@
   }
   const bool mayAskPeer = membership.hasPredecessor_ &&
                           !(membership.announcedNodes_.empty() && membership.members_.empty());
-  const Duration wait =
-    aState.store_.reachable_ ? kDepartureLookupTimeout : kDepartureLookupTimeoutInOutage;
-  return (aState.store_.hasListed_ && !mayAskPeer) || aNow >= membership.startedAt_ + wait;
+  const auto& listedAt = aState.store_.listedAt_;
+  const Instant outageEnd = membership.startedAt_ + kDepartureLookupTimeoutInOutage;
+  const Instant end =
+    listedAt ? std::min(*listedAt + kDepartureLookupTimeout, outageEnd) : outageEnd;
+  return (listedAt && !mayAskPeer) || aNow >= end;
 }
 
 /** Derives the health of a backend server that sends heartbeats from these. */
--- a/packages/policy/Lifecycle.h
+++ b/packages/policy/Lifecycle.h
@@ -19,11 +19,11 @@
 /** Longest time that the acknowledgement of a departure waits for the store. The backend server
  * gives up after 1 s. */
 inline constexpr Duration kDepartureStoreTimeout = std::chrono::milliseconds(700);
-/** Longest time after its start that a node waits for the departures of earlier processes before it
- * uses its backend server: that of one call to the store. */
+/** Longest time after it has read the list of the store that a started node waits for the
+ * departures that peers know, before it uses its backend server. */
 inline constexpr Duration kDepartureLookupTimeout = std::chrono::seconds(1);
-/** The same while the store does not answer. Until a peer probes the node, it has neither a
- * configuration nor callers on other VMs, so that the wait delays little. */
+/** Longest time after its start that it waits for that list and for peers. Until a peer probes the
+ * node, it has no callers on other VMs, so that the wait delays little. */
 inline constexpr Duration kDepartureLookupTimeoutInOutage = std::chrono::seconds(5);
 
 /** Applies a heartbeat of the local backend server: incarnation, slots, and drain state. */
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -236,8 +236,9 @@
   /** Listings completed since the store was last unreachable, and when the last one ended. */
   std::uint32_t completedListings_ = 0;
   Instant lastListingAt_;
-  /** A listing was completed, so that the announcement of the previous process has been read. */
-  bool hasListed_ = false;
+  /** When the first listing was completed; from then on the announcement of the previous process
+   * has been read. */
+  std::optional<Instant> listedAt_;
   bool announcing_ = false;
   Instant nextAnnounceAt_;
   /** The departure in the announcement that is being written, and in the last one written. */
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -210,7 +210,7 @@
       return;
     }
     store.completedListings_ += 1;
-    store.hasListed_ = true;
+    store.listedAt_ = store.listedAt_.value_or(context_.now_);
     store.lastListingAt_ = context_.now_;
     const Duration delay =
       store.completedListings_ < kListingsAfterStart ? kSecondListingDelay : kListingInterval;
@@ -314,7 +314,7 @@
   }
   // The first announcement replaces that of the previous process, whose departure must be read
   // before. A draining node announces nothing else, so that a late write does not bring it back.
-  const bool mayAnnounce = store.hasListed_ && (!IsDraining(aState) || !IsDepartureStored(aState));
+  const bool mayAnnounce = store.listedAt_ && (!IsDraining(aState) || !IsDepartureStored(aState));
   if (!store.announcing_ && aContext.now_ >= store.nextAnnounceAt_ && mayAnnounce) {
     store.announcing_ = true;
     store.announcingDeparture_ = aState.membership_.self_.departure_;
--- a/packages/policy/tests/RoutedSimulation.h
+++ b/packages/policy/tests/RoutedSimulation.h
@@ -48,9 +48,17 @@
 class RoutedSimulation
 {
 public:
+  /** Whether the store answers the first listing. Until then a node waits for the departure that an
+   * earlier process may have recorded, before it uses its backend server. */
+  enum class FirstListing
+  {
+    kAnswered,
+    kPending,
+  };
+
   /** Creates nodes of the service "pricing" in one failure domain that are members of one cluster,
    * each with a backend server and a configuration. */
-  explicit RoutedSimulation(std::size_t aNodes)
+  explicit RoutedSimulation(std::size_t aNodes, FirstListing aListing = FirstListing::kAnswered)
   {
     for (std::size_t i = 0; i < aNodes; ++i) {
       NodeSettings settings;
@@ -68,12 +76,15 @@
       effects_.emplace_back();
     }
     for (std::size_t i = 0; i < aNodes; ++i) {
+      AnnouncementsListed listed;
       for (std::size_t k = 0; k < aNodes; ++k) {
         if (k != i) {
-          AnnouncementsListed listed{ { nodes_[k].membership_.self_ }, std::nullopt, 0 };
-          Inject(i, StoreCallFinished{ StoreTask::kListing, std::move(listed) });
+          listed.members_.push_back(nodes_[k].membership_.self_);
         }
       }
+      if (aListing == FirstListing::kAnswered) {
+        Inject(i, StoreCallFinished{ StoreTask::kListing, std::move(listed) });
+      }
       Inject(i, BackendHeartbeatReceived{ MakeRoutedHeartbeat(1) });
       Configure(i, MakeRoutedConfiguration(1));
     }
--- a/packages/policy/tests/StoreSyncTest.cpp
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -29,7 +29,7 @@
  * against an announcement that replaces the one of the previous process before it was read. */
 Test(store_sync, node_starts_every_store_call_at_its_start)
 {
-  RoutedSimulation world(1);
+  RoutedSimulation world(1, RoutedSimulation::FirstListing::kPending);
   cr_expect_eq(StoreCalls(world, StoreTask::kAnnouncement).size(), 0U);
   world.Inject(0, StoreCallFinished{ StoreTask::kListing, AnnouncementsListed{} });
   world.Run(kTickInterval);
