Wait for a peer also when the store shows no earlier process

What callers could see: a backend server that had left gets requests again, when its node restarts after the store returned from a copy that lacks every record of that node (DRAIN).

Cause: a process without a predecessor in the list of the store took that for proof that there was none, and served 24 ms after its start. The return removes the record of a node that is younger than the copy, and its departure with it. Class as before: absence in a copy taken for absence.

Change: unless a peer with a complete table has answered, a node serves 1 s after its first complete list, whatever that contains. A node that finds others in the list probes them at once and not at its next interval, so that the wait lasts milliseconds where a peer runs.

Ruled out: the era alone; a new process cannot know whether it has risen. Costs: 1 s when all nodes start together, with no established peer.

A test of copies between nodes took the second of two requests in the order of the nodes for the second in time; it names the node now and checks the same.

--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -90,7 +90,8 @@
 }
 
 /** Whether this process knows the departures that earlier ones recorded, or has waited for them.
- * The store may have lost that of a predecessor, so a peer is asked too if one is known. */
+ * The store may have lost them, and any trace of earlier processes with them, so an answer of a
+ * peer is awaited, too. */
 bool
 KnowsDepartures(const NodeState& aState, Instant aNow)
 {
@@ -98,13 +99,9 @@
   if (!aState.settings_.usesStore_ || membership.isKnownToPeer_) {
     return true;
   }
-  const bool mayAskPeer = membership.hasPredecessor_ &&
-                          !(membership.announcedNodes_.empty() && membership.members_.empty());
   const auto& listedAt = aState.store_.listedAt_;
   const Instant outageEnd = membership.startedAt_ + kDepartureLookupTimeoutInOutage;
-  const Instant end =
-    listedAt ? std::min(*listedAt + kDepartureLookupTimeout, outageEnd) : outageEnd;
-  return (listedAt && !mayAskPeer) || aNow >= end;
+  return aNow >= (listedAt ? std::min(*listedAt + kDepartureLookupTimeout, outageEnd) : outageEnd);
 }
 
 /** Derives the health of a backend server that sends heartbeats from these. */
--- a/packages/policy/MemberTable.cpp
+++ b/packages/policy/MemberTable.cpp
@@ -45,7 +45,6 @@
     self.departure_ = aRecord.departure_;
   }
   if (seen.incarnation_ != self.identity_.incarnation_ && !aContext.state_.isKnownToPeer_) {
-    aContext.state_.hasPredecessor_ = true;
     aContext.state_.nextProbeAt_ = aContext.now_; // A peer may know more than this record.
   }
   const bool otherIncarnation = seen.generation_ > self.identity_.generation_ ||
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -263,6 +263,9 @@
       MergeRecord(aContext, aRecord, RecordSource::kRecentChange);
     } else if (state.announcedNodes_.size() < kMaxAnnouncedNodes) {
       state.announcedNodes_[id] = AnnouncedNode{ aRecord.identity_.peerAddress_ };
+      if (!state.isKnownToPeer_) {
+        state.nextProbeAt_ = aNow; // The node may wait for the answer before it serves.
+      }
     }
   });
 }
--- a/packages/policy/Membership.h
+++ b/packages/policy/Membership.h
@@ -174,8 +174,6 @@
   /** A peer with a complete table has answered a probe of this incarnation. It has sent this node
    * the departure of the incarnation before, if there was one. */
   bool isKnownToPeer_ = false;
-  /** A record of an earlier incarnation of this node has arrived. */
-  bool hasPredecessor_ = false;
   /** By the incarnation that ended, see MovedIncarnations.h. */
   std::map<Incarnation, MovedIncarnation> moved_;
   /** Requests for moved incarnations that are still to be sent. */
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -51,6 +51,8 @@
   simulation.Inject(first, BackendAnswered{ request.id_, Answer{ 503 }, true });
   const auto requests = simulation.BackendRequests();
   cr_assert_eq(requests.size(), 2U);
+  // They are in the order of the nodes.
+  const auto& [second, repeated] = requests[requests[0].first == first ? 1 : 0];
   const auto secondAttempt = simulation.nodes_[0].outbound_.byAttempt_.begin()->first;
   const NodeId firstNode = simulation.nodes_[first].settings_.identity_.id_;
   CallAnswer answer;
@@ -67,13 +69,12 @@
     cr_expect_eq(simulation.BackendRequests().size(), 2U);
     cr_expect_not(simulation.ReplyTo(0, exchange).has_value());
   }
-  simulation.Inject(requests[1].first,
-                    BackendAnswered{ requests[1].second.id_, Answer{ 201 }, false });
+  simulation.Inject(second, BackendAnswered{ repeated.id_, Answer{ 201 }, false });
   cr_assert(simulation.ReplyTo(0, exchange).has_value());
   cr_expect_eq(simulation.ReplyTo(0, exchange)->answer_->status_, 201);
   answer.attempt_ = secondAttempt;
   simulation.Inject(
-    0, PeerMessageArrived{ simulation.nodes_[requests[1].first].settings_.identity_.id_, answer });
+    0, PeerMessageArrived{ simulation.nodes_[second].settings_.identity_.id_, answer });
   cr_expect_eq(simulation.Effects<ReplyToCaller>(0).size(), 1U);
 }
 
