Free output that was sent while other output still waits

What callers could see: a node runs out of memory and its requests end with it, when a peer, a backend server or a caller reads more slowly than others write.

Cause: a connection kept its output in one string, which was freed only when all of it was sent. Where some output waits all the time, as on a link to a slow node, every byte ever sent stayed in memory. No bound of the account (HeldBytes) could give it back, since nothing of it can be dropped.

Change: blocks that are freed one by one; messages up to 64 KB are joined, so that small ones still share a system call.

Ruled out: the growth of the string (at most twice the pending bytes).

--- a/packages/node/TcpChannel.cpp
+++ b/packages/node/TcpChannel.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kReadBufferBytes = 64U << 10;
 /** Limits the reads from one connection at a time, so that it does not starve the others. */
 constexpr int kMaxReadsPerPoll = 8;
+/** Smaller messages are sent together, with one system call. */
+constexpr std::size_t kMaxJoinedBytes = 64U << 10;
 
 void
 SetSocketOptions(Poco::Net::StreamSocket& aSocket)
@@ -38,12 +40,15 @@
 void
 TcpChannel::Queue(std::string aBytes)
 {
-  if (outputStart_ == output_.size()) {
-    output_ = std::move(aBytes);
-    outputStart_ = 0;
+  if (aBytes.empty()) {
     return;
   }
-  output_ += aBytes;
+  pendingBytes_ += aBytes.size();
+  if (!output_.empty() && output_.back().size() + aBytes.size() <= kMaxJoinedBytes) {
+    output_.back() += aBytes;
+  } else {
+    output_.push_back(std::move(aBytes));
+  }
 }
 
 ChannelStatus
@@ -60,18 +65,20 @@
       connecting_ = false;
     }
     while (PendingBytes() > 0) {
+      const std::string& front = output_.front();
       const int sent =
-        socket_.sendBytes(output_.data() + outputStart_, static_cast<int>(PendingBytes()));
+        socket_.sendBytes(front.data() + frontSent_, static_cast<int>(front.size() - frontSent_));
       if (sent <= 0) {
         return ChannelStatus::kOpen;
       }
-      outputStart_ += static_cast<std::size_t>(sent);
+      frontSent_ += static_cast<std::size_t>(sent);
+      pendingBytes_ -= static_cast<std::size_t>(sent);
       bytesWritten_ += static_cast<std::uint64_t>(sent);
+      if (frontSent_ == front.size()) {
+        output_.pop_front();
+        frontSent_ = 0;
+      }
     }
-    output_.clear();
-    // An idle connection must not keep the memory of its largest message.
-    output_.shrink_to_fit();
-    outputStart_ = 0;
     return ChannelStatus::kOpen;
   } catch (const Poco::Exception& error) {
     // POCO also throws when the socket buffer is full; the rest is sent once it is writable.
--- a/packages/node/TcpChannel.h
+++ b/packages/node/TcpChannel.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <cstdint>
+#include <deque>
 #include <string>
 
 namespace fulmarway {
@@ -39,10 +40,10 @@
   std::uint64_t BytesWritten() const { return bytesWritten_; }
 
   /** Bytes in the output buffer. */
-  std::size_t PendingBytes() const { return output_.size() - outputStart_; }
+  std::size_t PendingBytes() const { return pendingBytes_; }
 
-  /** Memory of the output buffer, including bytes that were sent and not yet removed. */
-  std::size_t HeldBytes() const { return output_.capacity(); }
+  /** Memory of the output buffer, including the sent part of the block that is being sent. */
+  std::size_t HeldBytes() const { return pendingBytes_ + frontSent_; }
 
   /** Whether the other side closed the connection cleanly, after sending all of its bytes. */
   bool WasClosedCleanly() const { return closedCleanly_; }
@@ -58,8 +59,11 @@
   Poco::Net::StreamSocket socket_;
   bool connecting_ = false;
   bool closedCleanly_ = false;
-  std::string output_;
-  std::size_t outputStart_ = 0;
+  /** Blocks to send. Each is freed once it was sent, also if others wait all the time. */
+  std::deque<std::string> output_;
+  /** Bytes of the first block that were sent. */
+  std::size_t frontSent_ = 0;
+  std::size_t pendingBytes_ = 0;
   std::uint64_t bytesWritten_ = 0;
 };
 
