Hold the body of a request once for all that refer to it

Cause: the entry node kept two copies of a body for the whole call. One was in the request of the caller, cleared but with its memory still allocated, so that the account of held bytes did not have it; a third one was made for the backend server beside the node. A frame to a peer was built in four buffers.

Change: SharedText, immutable text that its copies share, in requests. The account has each long body once. A frame is built in one buffer; its format and the messages are unchanged.

--- a/packages/model/Call.cpp
+++ b/packages/model/Call.cpp
@@ -8,9 +8,11 @@
 RequestDigest(const Request& aRequest)
 {
   std::uint64_t digest = StableHash(aRequest.service_);
-  for (const std::string* part :
-       { &aRequest.kind_, &aRequest.method_, &aRequest.target_, &aRequest.body_ }) {
-    digest = StableHash(*part, digest);
+  for (const std::string_view part : { std::string_view(aRequest.kind_),
+                                       std::string_view(aRequest.method_),
+                                       std::string_view(aRequest.target_),
+                                       std::string_view(aRequest.body_) }) {
+    digest = StableHash(part, digest);
   }
   return digest;
 }
--- a/packages/model/Call.h
+++ b/packages/model/Call.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "model/Importance.h"
+#include "model/SharedText.h"
 #include "model/Ticket.h"
 #include "model/Time.h"
 #include "model/Verdict.h"
@@ -58,7 +59,7 @@
   /** Path below service/kind and query string, as sent by the caller; may be empty. */
   std::string target_;
   std::string contentType_;
-  std::string body_;
+  SharedText body_;
   std::optional<Ticket> ticket_;
   /** Depth in the call graph: 0 for the root request, 1 for the calls that it makes. */
   std::uint8_t depth_ = 0;
--- a/packages/model/CallerRequest.h
+++ b/packages/model/CallerRequest.h
@@ -22,7 +22,7 @@
   std::string method_ = "GET";
   std::string target_;
   std::string contentType_;
-  std::string body_;
+  SharedText body_;
   /** Time until the caller gives up; the kind's default when absent. */
   std::optional<Duration> deadline_;
   /** Chosen by the caller and the same for all its attempts; generated when absent. */
--- a/packages/policy/CallerRequests.cpp
+++ b/packages/policy/CallerRequests.cpp
@@ -142,7 +142,7 @@
   call.exchange_ = aEvent.exchange_;
   call.request_ = MakeRequest(aState, aContext, origin);
   call.origin_ = origin;
-  call.origin_.body_.clear();
+  call.origin_.body_ = {}; // In request_.
   call.idempotent_ = kind.idempotent_;
   // An earlier attempt under the ticket may have reached the executor through another entry node.
   call.mayHaveRun_ = origin.ticket_ && origin.attempt_ > 1;
--- a/packages/policy/RequestMemory.cpp
+++ b/packages/policy/RequestMemory.cpp
@@ -1,5 +1,7 @@
 #include "policy/RequestMemory.h"
 
+#include <set>
+
 namespace fulmarway {
 
 namespace {
@@ -20,14 +22,19 @@
 CountRequestBytes(const NodeState& aState)
 {
   std::size_t bytes = 0;
+  std::set<const void*> counted;
+  const auto count = [&](const SharedText& aBody) {
+    const bool isNew = aBody.size() < kLongBodyBytes || counted.insert(aBody.Id()).second;
+    bytes += isNew ? aBody.size() : 0;
+  };
   for (const auto& [id, call] : aState.outbound_.calls_) {
-    bytes += call.origin_.body_.size() + call.request_.body_.size();
+    count(call.request_.body_);
     for (const auto& [attemptId, attempt] : call.attempts_) {
       bytes += attempt.partialAnswer_ ? attempt.partialAnswer_->answer_.body_.size() : 0;
     }
   }
   for (const auto& [id, request] : aState.inbound_.requests_) {
-    bytes += request.request_.body_.size();
+    count(request.request_.body_);
   }
   return bytes;
 }
--- a/packages/policy/RequestMemory.h
+++ b/packages/policy/RequestMemory.h
@@ -16,8 +16,7 @@
 bool
 HasRoomFor(const ReduceContext& aContext, std::string_view aBody);
 
-/** Bytes of the bodies of all requests in progress, as callers sent them and as they are passed on,
- * and of their incomplete answers. */
+/** Bytes of the bodies of all requests in progress, each once, and of their incomplete answers. */
 std::size_t
 CountRequestBytes(const NodeState& aState);
 
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -109,7 +109,7 @@
   call.madeByRepeat_ =
     call.likelyParent_ && aState.inbound_.requests_.at(*call.likelyParent_).repeat_;
   call.request_ = MakeRequest(aState, aContext, origin, call.likelyParent_, aRoute, aService);
-  call.origin_.body_.clear();
+  call.origin_.body_ = {}; // In request_.
   call.origin_.routed_.reset();
   call.idempotent_ = aRoute.kind_.idempotent_;
   call.ownsPool_ = true;
--- a/packages/policy/tests/RequestMemoryTest.cpp
+++ b/packages/policy/tests/RequestMemoryTest.cpp
@@ -21,7 +21,7 @@
   CallRequest call;
   call.attempt_ = AttemptId{ 1 };
   call.request_.service_ = aWorld.nodes_[0].settings_.identity_.service_;
-  call.request_.body_.assign(aBodyBytes, 'x');
+  call.request_.body_ = std::string(aBodyBytes, 'x');
   call.request_.routed_ = RoutedPart{};
   call.remaining_ = std::chrono::seconds(1);
   return { LinkId{ 1 }, NodeId{ 7 }, call };
@@ -65,3 +65,20 @@
   world.Inject(0, MakeCall(world, kLongBody));
   cr_expect_eq(CountRequestBytes(world.nodes_[0]), kLongBody);
 }
+
+/** Guards against a body that is held once for the call and once for the request to the backend
+ * server beside the node. */
+Test(request_memory, body_is_held_once_for_all_that_refer_to_it)
+{
+  RoutedSimulation world(1);
+  CallerRequest request;
+  request.method_ = "POST";
+  request.body_ = std::string(kLongBody, 'x');
+  request.routed_ = RoutedPart{ "host", "/safe/1", {}, "", "id" };
+  Event event{ world.now_, 1, 0, CallerRequestArrived{ ExchangeId{ 1 }, std::move(request) } };
+  event.freeBytes_ = 4 * kLongBody;
+  const NodeState after = Reduce(world.nodes_[0], event).state_;
+  cr_assert_eq(after.outbound_.calls_.size(), 1U);
+  cr_assert_eq(after.inbound_.requests_.size(), 1U);
+  cr_expect_eq(CountRequestBytes(after), kLongBody);
+}
--- a/packages/wire/Frame.cpp
+++ b/packages/wire/Frame.cpp
@@ -14,16 +14,6 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMacBytes = sizeof(Bits128);
 
-template<typename Message>
-std::string
-Serialize(const Message& aMessage)
-{
-  std::ostringstream stream;
-  cereal::BinaryOutputArchive archive(stream);
-  archive(aMessage);
-  return std::move(stream).str();
-}
-
 template<typename Message>
 tl::expected<Message, UserError>
 Deserialize(std::string_view aBytes)
@@ -41,15 +31,6 @@
   }
 }
 
-std::string
-ComputeMacBytes(const ClusterKey& aKey, std::string_view aPayload)
-{
-  const Bits128 mac = ComputeMac(aKey, aPayload);
-  std::string bytes(kMacBytes, '\0');
-  std::memcpy(bytes.data(), &mac, kMacBytes);
-  return bytes;
-}
-
 /** Verifies the MAC in front of the payload and returns the payload. */
 tl::expected<std::string_view, UserError>
 VerifyMac(const ClusterKey& aKey, std::string_view aInput)
@@ -66,12 +47,20 @@
   return aInput;
 }
 
+/** Returns aPrefixBytes for the caller to fill, the MAC and the payload. One buffer for all of it,
+ * as the payload may be a long body. */
 template<typename Message>
 std::string
-SerializeWithMac(const ClusterKey& aKey, const Message& aMessage)
+SerializeWithMac(const ClusterKey& aKey, const Message& aMessage, std::size_t aPrefixBytes = 0)
 {
-  const std::string payload = Serialize(aMessage);
-  return ComputeMacBytes(aKey, payload) + payload;
+  const std::size_t payloadStart = aPrefixBytes + kMacBytes;
+  std::ostringstream stream(std::string(payloadStart, '\0'), std::ios::out | std::ios::ate);
+  cereal::BinaryOutputArchive archive(stream);
+  archive(aMessage);
+  std::string bytes = std::move(stream).str();
+  const Bits128 mac = ComputeMac(aKey, std::string_view(bytes).substr(payloadStart));
+  std::memcpy(bytes.data() + aPrefixBytes, &mac, kMacBytes);
+  return bytes;
 }
 
 template<typename Message>
@@ -90,11 +79,10 @@
 std::string
 EncodeFrame(const ClusterKey& aKey, const PeerMessage& aMessage)
 {
-  const std::string macAndPayload = SerializeWithMac(aKey, aMessage);
-  const auto length = static_cast<std::uint32_t>(macAndPayload.size());
-  std::string frame(kLengthBytes, '\0');
+  std::string frame = SerializeWithMac(aKey, aMessage, kLengthBytes);
+  const auto length = static_cast<std::uint32_t>(frame.size() - kLengthBytes);
   std::memcpy(frame.data(), &length, kLengthBytes);
-  return frame + macAndPayload;
+  return frame;
 }
 
 tl::expected<std::vector<PeerMessage>, UserError>
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -78,6 +78,24 @@
   aArchive(aValue.executor_, aValue.incarnation_, aValue.epoch_, aValue.nonce_, aValue.mac_);
 }
 
+template<class Archive>
+void
+save(Archive& aArchive, const SharedText& aValue)
+{
+  const std::string_view text(aValue);
+  aArchive(cereal::make_size_tag(static_cast<cereal::size_type>(text.size())));
+  aArchive(cereal::binary_data(text.data(), text.size()));
+}
+
+template<class Archive>
+void
+load(Archive& aArchive, SharedText& aValue)
+{
+  std::string text;
+  aArchive(text);
+  aValue = SharedText(std::move(text));
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, HeaderField& aValue)
--- a/packages/wire/tests/AnyValue.h
+++ b/packages/wire/tests/AnyValue.h
@@ -127,6 +127,8 @@
 inline void
 Fill(Random& aRandom, std::string& aValue);
 inline void
+Fill(Random& aRandom, SharedText& aValue);
+inline void
 Fill(Random& aRandom, Duration& aValue);
 inline void
 Fill(Random& aRandom, LogRecord& aValue);
@@ -180,6 +182,14 @@
   aValue = AnyBytes(aRandom, 20);
 }
 
+inline void
+Fill(Random& aRandom, SharedText& aValue)
+{
+  std::string text;
+  Fill(aRandom, text);
+  aValue = SharedText(std::move(text));
+}
+
 inline void
 Fill(Random& aRandom, Duration& aValue)
 {
