Give up short messages too when they hold most of the memory

What callers could see: a process that runs out of memory, and their requests end with it, while a crowd keeps many requests open that are each short.

Cause: over the limit of held bytes, only requests and replies above 64 KB were given up; shorter ones counted as bounded by the number of connections, 2,000 by default, which is 125 MiB. Class: a bound for each message, none for the sum.

Change: where no long message is left and connections of callers hold more than half of the limit, the oldest incomplete request is refused, truthfully "not run", whatever its size, then the longest unread reply.

The new unit test needs the new scope to compile. The event long_request_refused is named incomplete_request_refused now.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -14,8 +14,8 @@
  * default of maxBodyBytes_, needs 1.1 Mbit/s. */
 constexpr Duration kRequestTimeout = std::chrono::seconds(30);
 
-/** Requests and replies below this size are not given up for their memory: connections with them
- * are bounded by their number. */
+/** Requests and replies below this size are given up for their memory only if no longer ones are
+ * left. */
 constexpr std::size_t kLongMessageBytes = 64U << 10;
 /** Time without a byte after which an incomplete request gives way to a new connection. A client
  * that sends at all is far from it. */
@@ -278,25 +278,32 @@
 }
 
 bool
-HttpServer::ReleaseMemory(Instant aNow)
+HttpServer::ReleaseMemory(Instant aNow, ReleaseScope aScope)
+{
+  return ReleaseMessage(aNow, kLongMessageBytes) ||
+         (aScope == ReleaseScope::kAllMessages && ReleaseMessage(aNow, 1));
+}
+
+bool
+HttpServer::ReleaseMessage(Instant aNow, std::size_t aMinBytes)
 {
   auto incomplete = connections_.end();
   auto unread = connections_.end();
   for (auto next = connections_.begin(); next != connections_.end(); ++next) {
     const Connection& connection = next->second;
     const std::size_t pending = connection.channel_.PendingBytes();
-    if (connection.requestStartedAt_ && connection.heldBytes_ >= kLongMessageBytes &&
+    if (connection.requestStartedAt_ && connection.heldBytes_ >= aMinBytes &&
         (incomplete == connections_.end() ||
          *connection.requestStartedAt_ < *incomplete->second.requestStartedAt_)) {
       incomplete = next;
     }
-    if (pending >= kLongMessageBytes &&
+    if (pending >= aMinBytes &&
         (unread == connections_.end() || pending > unread->second.channel_.PendingBytes())) {
       unread = next;
     }
   }
   if (incomplete != connections_.end()) {
-    spdlog::warn("event=long_request_refused held_bytes={} age_us={}",
+    spdlog::warn("event=incomplete_request_refused held_bytes={} age_us={}",
                  incomplete->second.heldBytes_,
                  (aNow - *incomplete->second.requestStartedAt_).count());
     RefuseIncomplete(incomplete->first);
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -97,10 +97,18 @@
   /** Memory of the connections: input, decoded bodies, unread replies. */
   std::size_t HeldBytes() const { return heldBytes_; }
 
-  /** Frees memory at the cost of one connection: refuses the long request that has been incomplete
-   * for the longest time, or closes the connection with the longest unread reply. Returns whether
-   * there was one. Requests that were passed on and short ones are not affected. */
-  bool ReleaseMemory(Instant aNow);
+  /** Which messages ReleaseMemory() may give up. */
+  enum class ReleaseScope
+  {
+    kLongMessages,
+    /** If there is no long one, a short one too: thousands of them are as large. */
+    kAllMessages,
+  };
+
+  /** Frees memory at the cost of one connection: refuses the request that has been incomplete for
+   * the longest time, or closes the connection with the longest unread reply. Returns whether there
+   * was one. Requests that were passed on are not affected. */
+  bool ReleaseMemory(Instant aNow, ReleaseScope aScope);
 
   std::size_t ConnectionCount() const { return connections_.size(); }
 
@@ -134,6 +142,8 @@
   void CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents);
   /** Updates the memory of the connection, if it is still open. */
   void Recount(std::uint64_t aId);
+  /** ReleaseMemory() of messages that hold aMinBytes or more. */
+  bool ReleaseMessage(Instant aNow, std::size_t aMinBytes);
   /** Replies "not run" to an incomplete request and closes its connection. */
   void RefuseIncomplete(std::uint64_t aId);
   /** Makes room for another connection by one that has been silent within a request. Returns
--- a/packages/node/NodeMemory.cpp
+++ b/packages/node/NodeMemory.cpp
@@ -22,8 +22,14 @@
 void
 Node::LimitHeldBytes()
 {
+  using enum HttpServer::ReleaseScope;
   held_.callers_ = callers_.HeldBytes();
-  while (Sum(held_) > settings_.maxHeldBytes_ && callers_.ReleaseMemory(now_)) {
+  while (Sum(held_) > settings_.maxHeldBytes_) {
+    // Short messages are given up only where they make up most of what is held.
+    const auto scope = held_.callers_ > settings_.maxHeldBytes_ / 2 ? kAllMessages : kLongMessages;
+    if (!callers_.ReleaseMemory(now_, scope)) {
+      return;
+    }
     ++counters_.releasedConnections_;
     held_.callers_ = callers_.HeldBytes();
   }
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -10,6 +10,8 @@
 using namespace fulmarway;
 using namespace std::chrono_literals;
 
+using enum HttpServer::ReleaseScope;
+
 namespace {
 
 constexpr std::size_t kMaxBody = 1000;
@@ -157,17 +159,43 @@
   cr_assert(server.RunUntilConnections(4));
   server.Settle();
   for (std::size_t i = 0; i < crowd.size(); ++i) {
-    cr_assert(server.server_.ReleaseMemory(server.now_));
+    cr_assert(server.server_.ReleaseMemory(server.now_, kLongMessages));
     cr_expect(server.RunUntil([&] { return crowd[i].Has("503") && crowd[i].Has("not-run"); }));
     cr_expect_lt(server.server_.HeldBytes(), 2 * kLongBody * (crowd.size() - i));
   }
-  cr_expect_not(server.server_.ReleaseMemory(server.now_), "short requests are kept");
+  cr_expect_not(server.server_.ReleaseMemory(server.now_, kLongMessages),
+                "short requests are kept");
   ordinary.Send("b");
   cr_assert(server.RunUntilRequests(1));
   server.Reply(0, "answer");
   cr_expect(server.RunUntil([&] { return ordinary.Has("answer"); }));
 }
 
+/** Guards against thousands of short messages that together take the memory of the VM, and are
+ * never given up because each of them is short. */
+Test(http_server, memory_is_released_from_short_messages_when_no_long_one_is_left)
+{
+  Server server;
+  std::vector<LoopbackPeer> crowd;
+  for (int i = 0; i < 3; ++i) {
+    server.now_ += 1s;
+    crowd.emplace_back(server.address_);
+    crowd.back().Send("POST /a HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + std::string(800, 'x'));
+    cr_assert(server.RunUntilConnections(static_cast<std::size_t>(i) + 1));
+    server.Settle();
+  }
+  LoopbackPeer ordinary(server.address_);
+  ordinary.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  for (LoopbackPeer& oldest : crowd) {
+    cr_assert(server.server_.ReleaseMemory(server.now_, kAllMessages));
+    cr_expect(server.RunUntil([&] { return oldest.Has("503") && oldest.Has("not-run"); }));
+  }
+  cr_expect_not(server.server_.ReleaseMemory(server.now_, kAllMessages), "a request was passed on");
+  server.Reply(0, "answer");
+  cr_expect(server.RunUntil([&] { return ordinary.Has("answer"); }));
+}
+
 /** Guards against clients that take all connections and send nothing more. */
 Test(http_server, silent_connection_within_a_request_gives_way_to_a_new_one)
 {
--- a/standins/client-crowd/Main.cpp
+++ b/standins/client-crowd/Main.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kSmallChunksBodyBytes = 2 * kMebibyte;
 constexpr std::size_t kExcessiveBodyBytes = 16 * kMebibyte;
 constexpr int kRequestsAhead = 100'000;
+/** Below the size from which the node counts a request as long. */
+constexpr std::size_t kShortBodyBytes = 63U << 10;
 
 std::string
 MakeHead(const std::string& aField)
@@ -68,6 +70,11 @@
       return MakeHead("Content-Length: " + std::to_string(kStalledBodyBytes + 1)) +
              std::string(kStalledBodyBytes, 'x');
     } },
+  { "stalled-short",
+    [] {
+      return MakeHead("Content-Length: " + std::to_string(kShortBodyBytes + 1)) +
+             std::string(kShortBodyBytes, 'x');
+    } },
   { "announced-excess",
     [] {
       return MakeHead("Content-Length: " + std::to_string(1024 * kMebibyte)) +
