Count header fields of requests in progress, and bound short requests

What callers could see: a process that runs out of memory under many requests in progress that are each below 64 KB, with their header fields of up to the operator's 16 KB, also of other nodes (up to 20,000 requests in progress).

Cause: the account had only bodies, and requests below 64 KB were accepted whatever it said. Class: something held that no account has.

Change: body, path and header fields count. Short requests may take a quarter of the limit beyond it, so that they are served while long ones take all of it, and are then refused, truthfully "not run".

--- a/packages/node/HeldBytes.h
+++ b/packages/node/HeldBytes.h
@@ -32,6 +32,10 @@
          aHeld.control_ + aHeld.requests_;
 }
 
+/** Part of the limit that short requests may take beyond it, so that they are still served while
+ * long ones take all of it. */
+inline constexpr std::size_t kShortRequestReserveShare = 4;
+
 /** Bytes that can be taken before the sum reaches the limit. */
 inline std::size_t
 FreeBytes(const HeldBytes& aHeld, std::size_t aLimit)
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "logservice/LogProtocol.h"
 #include "policy/Lifecycle.h"
+#include "policy/RequestMemory.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
@@ -210,11 +211,13 @@
 Node::DrainQueue()
 {
   while (!queue_.empty()) {
+    const std::size_t limit = settings_.maxHeldBytes_;
     Event event{ now_,
                  clock_.entropy_(),
                  clock_.wallTimeMs_(),
                  std::move(queue_.front()),
-                 FreeBytes(held_, settings_.maxHeldBytes_) };
+                 FreeBytes(held_, limit),
+                 FreeBytes(held_, limit + limit / kShortRequestReserveShare) };
     queue_.pop_front();
     auto step = Reduce(std::move(state_), event);
     state_ = std::move(step.state_);
@@ -341,7 +344,7 @@
       HandleCallerEvents(callers_.Reply(arrived.exchange_, head, body, now_));
       continue;
     }
-    CountAccepted(request->body_.size());
+    CountAccepted(RequestBytes(*request));
     request->callerAddress_ = arrived.peer_;
     request->fromBackend_ = arrived.peer_ == settings_.backend_.host().toString();
     queue_.push_back(CallerRequestArrived{ arrived.exchange_, std::move(*request) });
@@ -426,7 +429,7 @@
   for (EventBody& event : peers_.ExtractEvents()) {
     if (const auto* arrived = std::get_if<LinkMessageArrived>(&event)) {
       const auto* call = std::get_if<CallRequest>(&arrived->message_);
-      CountAccepted(call != nullptr ? call->request_.body_.size() : 0);
+      CountAccepted(call != nullptr ? RequestBytes(call->request_) : 0);
     }
     queue_.push_back(std::move(event));
   }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -75,7 +75,7 @@
   void HandleReady(const ReadySocket& aReady);
   /** Counts what the process holds. Between two counts, CountAccepted() adds to it. */
   void CountHeldBytes();
-  void CountAccepted(std::size_t aBodyBytes) { held_.requests_ += aBodyBytes; }
+  void CountAccepted(std::size_t aBytes) { held_.requests_ += aBytes; }
   /** Keeps the sum within the limit at the cost of connections of callers. */
   void LimitHeldBytes();
   bool HasRequestsSentAhead() const;
--- a/packages/policy/CallerRequests.cpp
+++ b/packages/policy/CallerRequests.cpp
@@ -82,7 +82,7 @@
     }
   }
   if (aState.outbound_.calls_.size() >= kMaxOutboundCalls ||
-      !HasRoomFor(aContext, aRequest.body_)) {
+      !HasRoomFor(aContext, RequestBytes(aRequest))) {
     return NotRun(Reason::kShedByQueue);
   }
   return std::nullopt;
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -239,8 +239,10 @@
   /** Wall clock in milliseconds since 1970. Used for the audit trail only. */
   std::uint64_t wallTimeMs_ = 0;
   EventBody body_;
-  /** Bytes that the process may still take for requests, see HasRoomFor(). */
+  /** Bytes that the process may still take for long requests, and for short ones, see HasRoomFor().
+   */
   std::size_t freeBytes_ = std::numeric_limits<std::size_t>::max();
+  std::size_t freeBytesWithReserve_ = std::numeric_limits<std::size_t>::max();
 
   bool operator==(const Event&) const = default;
 };
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -155,7 +155,7 @@
     return IsDraining(aState) ? Reason::kDraining : Reason::kBackendUnreachable;
   }
   if (aState.inbound_.requests_.size() >= kMaxInboundRequests ||
-      !HasRoomFor(aContext, aRequest.body_)) {
+      !HasRoomFor(aContext, RequestBytes(aRequest))) {
     return Reason::kShedByQueue;
   }
   return std::nullopt;
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -22,6 +22,7 @@
 #include "policy/WeightedSplit.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -337,6 +338,7 @@
   std::uint64_t wallTimeMs_ = 0;
   /** As in Event. */
   std::size_t freeBytes_ = 0;
+  std::size_t freeBytesWithReserve_ = std::numeric_limits<std::size_t>::max();
   RandomStream random_;
   Effects effects_;
   std::deque<LocalMessage> local_;
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -200,6 +200,7 @@
   context.now_ = aEvent.now_;
   context.wallTimeMs_ = aEvent.wallTimeMs_;
   context.freeBytes_ = aEvent.freeBytes_;
+  context.freeBytesWithReserve_ = aEvent.freeBytesWithReserve_;
   context.random_.state_ = aEvent.entropy_;
   std::visit(EventHandler{ aState, context }, aEvent.body_);
   HandleLocalMessages(aState, context);
--- a/packages/policy/RequestMemory.h
+++ b/packages/policy/RequestMemory.h
@@ -8,15 +8,21 @@
 
 namespace fulmarway {
 
-/** Bodies below this size are never refused for lack of memory: the number of requests bounds them.
- */
-inline constexpr std::size_t kLongBodyBytes = std::size_t{ 64 } << 10;
+/** Requests below this size are refused for lack of memory only when the reserve for them is used
+ * up, too. */
+inline constexpr std::size_t kLongRequestBytes = std::size_t{ 64 } << 10;
+
+/** Memory of the body and of the header fields. */
+std::size_t
+RequestBytes(const CallerRequest& aRequest);
+std::size_t
+RequestBytes(const Request& aRequest);
 
-/** Whether the process has room for a request with this body. */
+/** Whether the process has room for a request of this size. */
 bool
-HasRoomFor(const ReduceContext& aContext, std::string_view aBody);
+HasRoomFor(const ReduceContext& aContext, std::size_t aRequestBytes);
 
-/** Bytes of the bodies of all requests in progress, each once, and of their incomplete answers. */
+/** Bytes of all requests in progress, shared bodies once, and of their incomplete answers. */
 std::size_t
 CountRequestBytes(const NodeState& aState);
 
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -35,8 +35,8 @@
   if (ConfigOf(aState).version_ == 0) {
     return Reason::kNoConfiguration;
   }
-  const bool isFull =
-    aState.outbound_.calls_.size() >= kMaxOutboundCalls || !HasRoomFor(aContext, aRequest.body_);
+  const bool isFull = aState.outbound_.calls_.size() >= kMaxOutboundCalls ||
+                      !HasRoomFor(aContext, RequestBytes(aRequest));
   return isFull ? std::optional(Reason::kShedByQueue) : std::nullopt;
 }
 
--- a/packages/policy/tests/RequestMemoryTest.cpp
+++ b/packages/policy/tests/RequestMemoryTest.cpp
@@ -57,6 +57,29 @@
   cr_expect_not(IsRefused(OfferCall(world, 1000, 0)));
 }
 
+/** Guards against short requests without a bound on their sum. */
+Test(request_memory, short_requests_are_refused_when_their_reserve_is_used_up)
+{
+  RoutedSimulation world(1);
+  Event event{ world.now_, 1, 0, MakeCall(world, 1000) };
+  event.freeBytesWithReserve_ = 999;
+  cr_expect(IsRefused(Reduce(world.nodes_[0], event).result_));
+}
+
+/** Guards against header fields that are in no account: 16 KB of them with each of thousands of
+ * requests take the memory of the VM. */
+Test(request_memory, header_fields_of_accepted_requests_are_counted)
+{
+  constexpr std::size_t kFieldBytes = 15'000;
+  RoutedSimulation world(1);
+  LinkMessageArrived arrived = MakeCall(world, 0);
+  std::get<CallRequest>(arrived.message_).request_.routed_->headers_ = {
+    { "X", std::string(kFieldBytes, 'x') }
+  };
+  world.Inject(0, arrived);
+  cr_expect_geq(CountRequestBytes(world.nodes_[0]), kFieldBytes);
+}
+
 /** Guards against bodies that are in no account. */
 Test(request_memory, bodies_of_accepted_requests_are_counted)
 {
@@ -80,5 +103,7 @@
   const NodeState after = Reduce(world.nodes_[0], event).state_;
   cr_assert_eq(after.outbound_.calls_.size(), 1U);
   cr_assert_eq(after.inbound_.requests_.size(), 1U);
-  cr_expect_eq(CountRequestBytes(after), kLongBody);
+  const Request& held = after.outbound_.calls_.begin()->second.request_;
+  const std::size_t fields = 2 * (RequestBytes(held) - kLongBody);
+  cr_expect_eq(CountRequestBytes(after), kLongBody + fields);
 }
