Refuse a long frame on a link that has not identified itself

What callers could see: a process that runs out of memory, when anything that reaches the port for peers announces long frames and sends most of them: 4 MB on each of up to 4,096 links, before a MAC is checked.

Cause: the limit of a frame was that of the longest message of a known peer. Class: a bound for each connection, none for the sum.

Change: the first frame of an accepted link, its Hello, is at most 1 KB. Longer ones close the link and count as invalid messages.

--- a/packages/node/PeerLinks.cpp
+++ b/packages/node/PeerLinks.cpp
@@ -13,6 +13,8 @@
 /** Enough to keep the socket busy; more would delay urgent frames behind parts. */
 constexpr std::size_t kOutputBufferTargetBytes = 64U << 10;
 constexpr std::size_t kMaxAcceptedLinks = 4096;
+/** Largest first frame of an accepted link, its Hello. Until then anybody may have opened it. */
+constexpr std::size_t kMaxHelloBytes = 1024;
 
 /** The attempt that a message belongs to; zero for none. */
 AttemptId
@@ -268,7 +270,8 @@
   AcceptedLink& link = accepted_.at(aLink);
   std::string input;
   const ChannelStatus status = link.channel_.Read(input);
-  auto messages = DecodeFrames(key_, link.input_, input);
+  const std::size_t maxFirst = link.from_ == NodeId{} ? kMaxHelloBytes : kMaxFrameBytes;
+  auto messages = DecodeFrames(key_, link.input_, input, maxFirst);
   if (!messages) {
     ++invalidMessages_;
     CloseAcceptedLink(aLink);
--- a/packages/node/tests/PeerLinksTest.cpp
+++ b/packages/node/tests/PeerLinksTest.cpp
@@ -5,6 +5,7 @@
 #include "Loopback.h"
 
 #include <criterion/criterion.h>
+#include <cstring>
 
 using namespace fulmarway;
 
@@ -84,3 +85,25 @@
     cr_expect_eq(nodes.links_.AttemptsInFlight(), 0U);
   }
 }
+
+/** Guards against strangers that make a node hold a frame of 4 MB on each of thousands of links. */
+Test(peer_links, link_without_a_hello_may_not_send_a_long_frame)
+{
+  constexpr std::uint32_t kAnnounced = 4U << 20;
+  Nodes nodes;
+  LoopbackPeer stranger(nodes.peer_.Address());
+  std::string frame(sizeof kAnnounced, '\0');
+  std::memcpy(frame.data(), &kAnnounced, sizeof kAnnounced);
+  stranger.Send(frame + std::string(20'000, 'x'));
+  for (int i = 0; i < kMaxPollIterations && nodes.peer_.InvalidMessages() == 0; ++i) {
+    for (const ReadySocket& ready : nodes.peerPoller_.Poll(kPollTimeout)) {
+      if (ready.key_.role_ == SocketRole::kPeerListener) {
+        nodes.peer_.Accept();
+      } else {
+        nodes.peer_.HandleReady(ready, nodes.now_);
+      }
+    }
+  }
+  cr_expect_eq(nodes.peer_.InvalidMessages(), 1U);
+  cr_expect_eq(nodes.peer_.HeldBytes(), 0U);
+}
--- a/packages/wire/Frame.cpp
+++ b/packages/wire/Frame.cpp
@@ -86,7 +86,10 @@
 }
 
 tl::expected<std::vector<PeerMessage>, UserError>
-DecodeFrames(const ClusterKey& aKey, FrameBuffer& aBuffer, std::string_view aInput)
+DecodeFrames(const ClusterKey& aKey,
+             FrameBuffer& aBuffer,
+             std::string_view aInput,
+             std::size_t aMaxFirstBytes)
 {
   aBuffer.bytes_.append(aInput);
   std::vector<PeerMessage> messages;
@@ -94,7 +97,8 @@
   while (rest.size() >= kLengthBytes) {
     std::uint32_t length = 0;
     std::memcpy(&length, rest.data(), kLengthBytes);
-    if (length > kMaxFrameBytes + kMacBytes) {
+    const std::size_t limit = messages.empty() ? aMaxFirstBytes : kMaxFrameBytes;
+    if (length > limit + kMacBytes) {
       return tl::unexpected(UserError{ "frame", "length is above the limit" });
     }
     if (rest.size() < kLengthBytes + length) {
--- a/packages/wire/Frame.h
+++ b/packages/wire/Frame.h
@@ -33,10 +33,13 @@
   std::string bytes_;
 };
 
-/** Appends aInput to aBuffer, then removes and decodes all complete frames. After an error the
- * connection must be closed. */
+/** Appends aInput to aBuffer, then removes and decodes all complete frames. The first of them is at
+ * most aMaxFirstBytes long. After an error the connection must be closed. */
 tl::expected<std::vector<PeerMessage>, UserError>
-DecodeFrames(const ClusterKey& aKey, FrameBuffer& aBuffer, std::string_view aInput);
+DecodeFrames(const ClusterKey& aKey,
+             FrameBuffer& aBuffer,
+             std::string_view aInput,
+             std::size_t aMaxFirstBytes = kMaxFrameBytes);
 
 std::string
 EncodeDatagram(const ClusterKey& aKey, const GossipMessage& aMessage);
