--- a/packages/model/SharedText.h
+++ b/packages/model/SharedText.h
@@ -32,7 +32,6 @@
     return text_ ? std::string_view(*text_) : std::string_view();
   }
   std::size_t size() const { return text_ ? text_->size() : 0; }
-  bool empty() const { return !text_; }
 
   /** Identifies the memory: equal for copies. */
   const void* Id() const { return text_.get(); }
