--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -171,6 +171,25 @@
   cr_expect(server.RunUntil([&] { return ordinary.Has("answer"); }));
 }
 
+/** Guards against a body that every configuration allows and that is refused for its size. */
+Test(http_server, body_within_the_limit_of_the_operator_is_read)
+{
+  constexpr std::size_t kBody = std::size_t{ 5 } << 20;
+  Server server(10, kMaxBodyBytes);
+  CallerLimits limits;
+  limits.maxBodyBytes_ = std::size_t{ 64 } << 20;
+  server.server_.SetLimits(limits);
+  LoopbackPeer client(server.address_);
+  client.Send("POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n");
+  constexpr std::size_t kPiece = std::size_t{ 64 } << 10;
+  for (std::size_t sent = 0; sent < kBody && !client.IsClosed(); sent += kPiece) {
+    client.Send(std::string(kPiece, 'x'));
+    server.Settle();
+  }
+  cr_expect(server.RunUntilRequests(1));
+  cr_expect_not(client.Has("413"));
+}
+
 /** Guards against thousands of short messages that together take the memory of the VM, and are
  * never given up because each of them is short. */
 Test(http_server, memory_is_released_from_short_messages_when_no_long_one_is_left)
