Let the reads of a node end at a time of its own by the time of day

Cause: the reads were spaced by a duration from the last read, and only a change restored the spacing. A record of another key, a configuration that cannot be decoded, a restart of all nodes and a deleted history did not. The end of a read is now derived from the time of day and the position of the node in its failure domain, so that nothing has to be restored.

--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -228,8 +228,6 @@
   /** AwaitConfiguration::from_ of the next call, a position in `era_`; nullopt when the newest
    * configuration must be read first. */
   std::optional<std::uint64_t> nextChange_;
-  /** The last read ended without a change, so the reads of the failure domain are spaced. */
-  bool isReadSpaced_ = false;
   bool listing_ = false;
   Instant nextListAt_;
   /** Continuation key of a listing that has several pages; empty for the first page. */
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -11,9 +11,12 @@
 
 /** Interval between the ends of the reads of changes of one failure domain. When all connections to
  * the store go dead at once, the first node whose read ends gives the changes to its peers. */
-constexpr Duration kDomainReadSpacing = std::chrono::seconds(1);
-/** Longest wait of one read for a change. */
-constexpr Duration kMaxChangeWait = std::chrono::seconds(10);
+constexpr std::chrono::milliseconds kDomainReadSpacing = std::chrono::seconds(1);
+/** Interval between the ends of the reads of one node. */
+constexpr std::chrono::milliseconds kMaxReadInterval = std::chrono::seconds(10);
+/** A read does not end at the next time of the node if that is closer than this. Otherwise a read
+ * that ended slightly early would be repeated at once. */
+constexpr std::chrono::milliseconds kMinChangeWait = std::chrono::milliseconds(250);
 /** Base of the delay after a failed call; it doubles with each consecutive failure. */
 constexpr Duration kBaseRetryDelay = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMaxRetryDoublings = 2;
@@ -66,14 +69,20 @@
   return position;
 }
 
-/** How long the next read waits for a change. A change ends the reads of all nodes at once; the
- * waits of the reads after it differ, so that from then on one ends every kDomainReadSpacing. */
+/** How long the next read waits for a change. Each node has a time of its own within the interval
+ * of its failure domain, by the time of day, at which its reads end. So the ends stay apart
+ * whatever made the nodes start their reads together: a change, a restart, an outage. Clocks that
+ * differ move the ends of their nodes by the difference. */
 Duration
-ChangeWait(const NodeState& aState)
+ChangeWait(const NodeState& aState, const ReduceContext& aContext)
 {
   const DomainPosition position = PositionInDomain(aState);
-  const Duration period = std::min(kDomainReadSpacing * position.nodes_, kMaxChangeWait);
-  return aState.store_.isReadSpaced_ ? period : period * (position.rank_ + 1) / position.nodes_;
+  const auto interval = std::min(kDomainReadSpacing * position.nodes_, kMaxReadInterval);
+  const auto endsAt = interval * position.rank_ / position.nodes_;
+  const auto intervalMs = static_cast<std::uint64_t>(interval.count());
+  const auto time = std::chrono::milliseconds(aContext.wallTimeMs_ % intervalMs);
+  const auto wait = (endsAt - time + interval) % interval;
+  return wait < kMinChangeWait ? wait + interval : wait;
 }
 
 /** Reads the list of nodes from its first page and writes the announcement of this node again. */
@@ -178,7 +187,6 @@
     SetStoreReachable(state_, context_, task_, true, "");
     store.readingConfiguration_ = false;
     store.nextChange_ = isOfCurrentEra_ ? aReply.next_ : std::nullopt;
-    store.isReadSpaced_ = !aReply.configuration_.has_value();
     store.nextConfigurationReadAt_ = context_.now_;
     if (aReply.undecodable_ > 0) {
       context_.effects_.push_back(LogLine{ "store_records_unreadable",
@@ -239,7 +247,6 @@
     switch (task_) {
       case StoreTask::kConfiguration:
         store.readingConfiguration_ = false;
-        store.isReadSpaced_ = false;
         // The store may have returned from a copy, and a read from a position that it has given out
         // again waits without an answer that names the era.
         store.nextChange_.reset();
@@ -307,7 +314,7 @@
     store.readingConfiguration_ = true;
     if (store.nextChange_) {
       StartStoreCall(
-        aState, aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState) });
+        aState, aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState, aContext) });
     } else {
       StartStoreCall(aState, aContext, ReadConfiguration{});
     }
