Read the list of the store on until the configuration is found

Cause: the configuration was looked for on the first page of log-newest only; hasMore was not read. A missing key counted as "no configuration". The list of nodes was read on.

--- a/packages/model/Store.h
+++ b/packages/model/Store.h
@@ -17,9 +17,14 @@
 
 namespace fulmarway {
 
-/** Requests the latest configuration. */
+/** Requests the latest configuration, which the store lists among other records of its topic. */
 struct ReadConfiguration
 {
+  /** Key of the last record of the previous page; empty for the first page. */
+  std::string after_;
+  /** Position of the first page. Changes from it on may be missing in the later pages. */
+  std::optional<std::uint64_t> next_;
+
   bool operator==(const ReadConfiguration&) const = default;
 };
 
@@ -79,6 +84,8 @@
   std::optional<std::uint64_t> next_;
   /** Number of records that could not be decoded and were skipped. */
   std::uint32_t undecodable_ = 0;
+  /** The request for the next page, when this one lacks the configuration and there are more. */
+  std::optional<ReadConfiguration> continue_;
 
   bool operator==(const ConfigurationRead&) const = default;
 };
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -228,6 +228,8 @@
   /** AwaitConfiguration::from_ of the next call, a position in `era_`; nullopt when the newest
    * configuration must be read first. */
   std::optional<std::uint64_t> nextChange_;
+  /** The page of the newest configuration to read next, if `nextChange_` is not set. */
+  ReadConfiguration nextPage_;
   bool listing_ = false;
   Instant nextListAt_;
   /** Continuation key of a listing that has several pages; empty for the first page. */
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -163,6 +163,7 @@
   }
   store.era_ = aEra;
   store.nextChange_.reset();
+  store.nextPage_ = {};
 }
 
 /** Whether the call was started and answered in the current era, so that what it says about the
@@ -186,7 +187,9 @@
     StoreState& store = state_.store_;
     SetStoreReachable(state_, context_, task_, true, "");
     store.readingConfiguration_ = false;
-    store.nextChange_ = isOfCurrentEra_ ? aReply.next_ : std::nullopt;
+    store.nextChange_ = isOfCurrentEra_ && !aReply.continue_ ? aReply.next_ : std::nullopt;
+    store.nextPage_ =
+      isOfCurrentEra_ ? aReply.continue_.value_or(ReadConfiguration{}) : ReadConfiguration{};
     store.nextConfigurationReadAt_ = context_.now_;
     if (aReply.undecodable_ > 0) {
       context_.effects_.push_back(LogLine{ "store_records_unreadable",
@@ -250,6 +253,7 @@
         // The store may have returned from a copy, and a read from a position that it has given out
         // again waits without an answer that names the era.
         store.nextChange_.reset();
+        store.nextPage_ = {};
         store.nextConfigurationReadAt_ = next;
         break;
       case StoreTask::kListing:
@@ -316,7 +320,7 @@
       StartStoreCall(
         aState, aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState, aContext) });
     } else {
-      StartStoreCall(aState, aContext, ReadConfiguration{});
+      StartStoreCall(aState, aContext, store.nextPage_);
     }
   }
   // The first announcement replaces that of the previous process, whose departure must be read
--- a/packages/wire/BigEndian.h
+++ b/packages/wire/BigEndian.h
@@ -1,11 +1,12 @@
 /** \file
- * Big-endian integers of one to eight bytes.
+ * Big-endian integers of one to eight bytes, and the byte strings whose lengths they give.
  */
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -36,4 +37,27 @@
   return number;
 }
 
+/** ConsumeBigEndian() that throws std::out_of_range if aInput is shorter. */
+inline std::uint64_t
+ReadBigEndian(std::string_view& aInput, std::size_t aBytes)
+{
+  const auto number = ConsumeBigEndian(aInput, aBytes);
+  if (!number) {
+    throw std::out_of_range("truncated number");
+  }
+  return *number;
+}
+
+/** Removes aCount bytes from the front of aInput; throws std::out_of_range if it is shorter. */
+inline std::string_view
+ReadBytes(std::string_view& aInput, std::uint64_t aCount)
+{
+  if (aInput.size() < aCount) {
+    throw std::out_of_range("truncated bytes");
+  }
+  const std::string_view bytes = aInput.substr(0, aCount);
+  aInput.remove_prefix(aCount);
+  return bytes;
+}
+
 } // namespace fulmarway
