Skip interim answers and refuse statuses that are no answer

Cause: the reader took every number from 100 on for the status of the answer and knew nothing of answers that end with their head. model/HttpStatus.h now decides what is an answer (RFC 9110 15, RFC 9112 6.3) for backend servers, the store and the log service, which share this reader. Interim answers are skipped within 60 answers and 64 KiB; they change no time limit, and one that closes the connection keeps it from being used again. An answer that cannot be used is counted (invalid_answers_total) and logged with its request (answer_invalid).

Ruled out: 000 and everything below 100 was refused before (measured).

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -93,13 +93,14 @@
     const auto idle = PopIdleConnection(aEcho, aNow);
     id = idle ? *idle : Connect();
   } catch (const Poco::Exception&) {
-    results_.push_back({ aToken, ExchangeOutcome::kNotSent, std::nullopt });
+    results_.push_back({ aToken, ExchangeOutcome::kNotSent, {}, {} });
     return;
   }
   Connection& connection = connections_.at(id);
   connection.token_ = aToken;
   connection.writtenBefore_ = connection.channel_.BytesWritten();
   connection.deadline_ = aDeadline;
+  connection.progress_.answersHead_ = aHead.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
   if (aEcho) {
     connection.carriedEchoes_.push_back(StableHash(aEcho->value_));
   }
@@ -136,14 +137,15 @@
 }
 
 void
-HttpClient::Fail(std::uint64_t aId)
+HttpClient::Fail(std::uint64_t aId, std::optional<UserError> aInvalidAnswer)
 {
   const Connection& connection = connections_.at(aId);
   if (connection.token_) {
     const bool isWritten = connection.channel_.BytesWritten() > connection.writtenBefore_;
     results_.push_back({ *connection.token_,
                          isWritten ? ExchangeOutcome::kLost : ExchangeOutcome::kNotSent,
-                         std::nullopt });
+                         std::nullopt,
+                         std::move(aInvalidAnswer) });
   }
   Close(aId);
 }
@@ -230,7 +232,7 @@
     parsed = ContinueHttpResponse(connection.input_, settings_.maxBodyBytes_, progress);
   }
   if (!parsed) {
-    Fail(aId);
+    Fail(aId, std::move(parsed.error()));
     return;
   }
   if (!*parsed) {
@@ -260,7 +262,11 @@
 {
   Connection& connection = connections_.at(aId);
   auto parsed = ParseCloseDelimitedResponse(connection.input_, settings_.maxBodyBytes_);
-  if (!parsed || IsStaleAnswer(connection.echo_, parsed->head_) ||
+  if (!parsed) {
+    Fail(aId, std::move(parsed.error()));
+    return;
+  }
+  if (IsStaleAnswer(connection.echo_, parsed->head_) ||
       MayBeRepeated(connection.echo_, parsed->head_, connection.hasAnswered_)) {
     Fail(aId);
     return;
@@ -272,7 +278,7 @@
 void
 HttpClient::AddAnswer(Connection& aConnection, HttpResponseMessage aMessage)
 {
-  results_.push_back({ *aConnection.token_, ExchangeOutcome::kAnswered, std::move(aMessage) });
+  results_.push_back({ *aConnection.token_, ExchangeOutcome::kAnswered, std::move(aMessage), {} });
   byToken_.erase(*aConnection.token_);
   aConnection.token_.reset();
   aConnection.hasAnswered_ = true;
--- a/packages/node/HttpClient.h
+++ b/packages/node/HttpClient.h
@@ -30,6 +30,8 @@
   ExchangeOutcome outcome_ = ExchangeOutcome::kLost;
   /** Set for kAnswered. */
   std::optional<HttpResponseMessage> response_;
+  /** What is wrong with the answer of a kLost request, if one arrived. */
+  std::optional<UserError> invalidAnswer_;
 };
 
 struct HttpClientSettings
@@ -124,7 +126,7 @@
                                                  Instant aNow);
   void Close(std::uint64_t aId);
   /** Closes the connection; its current request, if any, ends as kLost or kNotSent. */
-  void Fail(std::uint64_t aId);
+  void Fail(std::uint64_t aId, std::optional<UserError> aInvalidAnswer = std::nullopt);
   void ReadResponse(std::uint64_t aId, Instant aNow);
   /** Updates the bytes buffered for the connection. Over the bound, fails the connections that hold
    * most. */
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -184,6 +184,9 @@
   add("invalid_requests_total", "Malformed HTTP requests", aLoop.invalidRequests_);
   add(
     "invalid_reports_total", "Unreadable reports of the backend server", aLoop.invalidHeartbeats_);
+  add("invalid_answers_total",
+      "Unusable answers of the backend server, the store and the log service",
+      aLoop.invalidAnswers_);
   add(
     "omitted_log_lines_total", "Log lines above the bound of their event", aLoop.omittedLogLines_);
   add("dropped_log_lines_total",
--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -29,6 +29,8 @@
   std::uint64_t droppedLogLines_ = 0;
   /** Connections of callers that were given up for their memory. */
   std::uint64_t releasedConnections_ = 0;
+  /** Answers of servers that were malformed, truncated or of an unknown status. */
+  std::uint64_t invalidAnswers_ = 0;
   HeldBytes held_;
 };
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -435,11 +435,27 @@
   }
 }
 
+void
+Node::RecordInvalidAnswer(const HttpResult& aResult, const char* aServer)
+{
+  if (!aResult.invalidAnswer_) {
+    return;
+  }
+  ++counters_.invalidAnswers_;
+  LogLine line{ "answer_invalid",
+                { { "server", aServer },
+                  { "request", ToHex(aResult.token_) },
+                  { "subject", '"' + aResult.invalidAnswer_->subject_ + '"' },
+                  { "error", '"' + aResult.invalidAnswer_->message_ + '"' } } };
+  RunEffect(line);
+}
+
 void
 Node::CollectBackendResults()
 {
   for (HttpResult& result : backend_.ExtractResults()) {
     const RequestId id{ result.token_ };
+    RecordInvalidAnswer(result, "backend_server");
     if (result.outcome_ != ExchangeOutcome::kAnswered) {
       queue_.push_back(BackendFailed{ id, result.outcome_ == ExchangeOutcome::kLost });
       continue;
@@ -496,6 +512,7 @@
     return;
   }
   for (HttpResult& result : logService_->ExtractResults()) {
+    RecordInvalidAnswer(result, "log_service");
     HandleLogResult(std::move(result));
   }
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -89,6 +89,8 @@
   void CollectResults();
   void CollectPeerEvents();
   void CollectBackendResults();
+  /** Counts and logs the answer of the server, if there was one that cannot be used. */
+  void RecordInvalidAnswer(const HttpResult& aResult, const char* aServer);
   void CollectLogResults();
   void CollectStoreResults();
   void HandleHeartbeatEvents(HttpServerEvents aEvents);
--- a/packages/node/NodeStore.cpp
+++ b/packages/node/NodeStore.cpp
@@ -44,6 +44,7 @@
     return;
   }
   for (HttpResult& result : store_->ExtractResults()) {
+    RecordInvalidAnswer(result, "store");
     const auto task = static_cast<StoreTask>(result.token_);
     const StoreRequest request = storeCallsInFlight_.at(task);
     storeCallsInFlight_.erase(task);
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -30,9 +30,11 @@
     listener_.setBlocking(false);
   }
 
-  void Send(std::uint64_t aToken, std::optional<ExpectedEcho> aEcho = std::nullopt)
+  void Send(std::uint64_t aToken,
+            std::optional<ExpectedEcho> aEcho = std::nullopt,
+            const std::string& aMethod = "GET")
   {
-    Poco::Net::HTTPRequest head("GET", "/" + std::to_string(aToken), "HTTP/1.1");
+    Poco::Net::HTTPRequest head(aMethod, "/" + std::to_string(aToken), "HTTP/1.1");
     client_.Send(aToken, head, "", now_, now_ + 10s, std::move(aEcho));
   }
 
@@ -124,6 +126,26 @@
       false,
       ExchangeOutcome::kAnswered,
       false },
+    { "after an interim answer",
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + kCompleteAnswer,
+      false,
+      ExchangeOutcome::kAnswered,
+      true },
+    { "without a length, after an interim answer",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nab",
+      true,
+      ExchangeOutcome::kAnswered,
+      false },
+    { "interim answer only, then closed",
+      "HTTP/1.1 103 Early Hints\r\n\r\n",
+      true,
+      ExchangeOutcome::kLost,
+      false },
+    { "unknown status",
+      "HTTP/1.1 999 ?\r\nContent-Length: 2\r\n\r\nab",
+      false,
+      ExchangeOutcome::kLost,
+      false },
     { "no answer", "", true, ExchangeOutcome::kLost, false },
     { "truncated head", "HTTP/1.1 200 OK\r\n", true, ExchangeOutcome::kLost, false },
     { "truncated body",
@@ -180,6 +202,61 @@
   }
 }
 
+/** Guards against a wait for the body that HEAD excludes, on a connection that was used for GET,
+ * and against a missing body that is taken for complete after it. */
+Test(http_client, answer_to_head_ends_with_its_head)
+{
+  Client client;
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n";
+  client.Send(1);
+  const auto server = client.AcceptRequest(1);
+  server->Send(kCompleteAnswer);
+  cr_assert(client.RunUntilResult());
+  client.Send(2, std::nullopt, "HEAD");
+  cr_assert(client.RunUntil([&] { return server->Has("HEAD /2 "); }));
+  server->Send(head);
+  cr_assert(client.RunUntil([&] { return client.results_.size() == 2; }));
+  cr_expect(client.results_[1].outcome_ == ExchangeOutcome::kAnswered);
+  cr_expect(client.results_[1].response_->body_.empty());
+  client.Send(3);
+  cr_assert(client.RunUntil([&] { return server->Has("GET /3 "); }));
+  server->Send(head);
+  client.Settle();
+  cr_expect_eq(client.results_.size(), 2U);
+}
+
+/** Guards against interim answers that restart the time limit of a request. */
+Test(http_client, interim_answers_do_not_extend_the_deadline)
+{
+  Client client;
+  client.Send(1);
+  const auto server = client.AcceptRequest(1);
+  for (int second = 1; second <= 9; ++second) {
+    client.now_ = Instant{} + 1s * second;
+    server->Send("HTTP/1.1 102 Processing\r\n\r\n");
+    client.Settle();
+    client.client_.Advance(client.now_);
+  }
+  client.Settle();
+  cr_assert(client.results_.empty());
+  client.now_ = Instant{} + 10s;
+  client.client_.Advance(client.now_);
+  client.Settle();
+  cr_assert_eq(client.results_.size(), 1U);
+  cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kLost);
+}
+
+/** Guards against an invalid answer that leaves no trace. */
+Test(http_client, invalid_answer_is_named)
+{
+  Client client;
+  client.Send(1);
+  client.AcceptRequest(1)->Send("HTTP/1.1 600 ?\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(client.RunUntilResult());
+  cr_assert(client.results_[0].invalidAnswer_.has_value());
+  cr_expect_str_eq(client.results_[0].invalidAnswer_->subject_.c_str(), "response head");
+}
+
 /** Guards against a truncated answer that counts as complete: without a length, only a clean close
  * marks the end. */
 Test(http_client, answer_without_a_length_is_incomplete_before_its_end)
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -1,5 +1,6 @@
 #include "wire/HttpFraming.h"
 
+#include "model/HttpStatus.h"
 #include "model/Number.h"
 
 #include <Poco/Net/MessageHeader.h>
@@ -16,6 +17,11 @@
 constexpr std::size_t kMaxChunkLineBytes = 256;
 /** Decoded chunks are removed from the buffer in blocks, since each removal moves the rest. */
 constexpr std::size_t kDecodedBlockBytes = 64U << 10;
+/** Interim answers before one final answer: one a second for a minute, from a server that reports
+ * its progress. Without limits they could go on until the deadline of the request. */
+constexpr std::uint32_t kMaxInterimAnswers = 60;
+/** Bytes of these: four heads of the largest size. */
+constexpr std::size_t kMaxInterimBytes = 4 * kMaxHeaderBytes;
 
 enum class BodyError : std::uint8_t
 {
@@ -259,9 +265,11 @@
   }
   const std::string_view rest = aLine.substr(versionEnd + 1);
   const auto status = ParseNumber(rest.substr(0, kStatusDigits));
-  constexpr std::uint64_t kMinStatus = 100;
-  if (!status || *status < kMinStatus ||
-      (rest.size() > kStatusDigits && rest[kStatusDigits] != ' ')) {
+  if (!status || (rest.size() > kStatusDigits && rest[kStatusDigits] != ' ')) {
+    return false;
+  }
+  const auto number = static_cast<unsigned>(*status);
+  if (!IsFinalStatus(number) && !IsInterimStatus(number)) {
     return false;
   }
   aHead.setVersion(std::string(aLine.substr(0, versionEnd)));
@@ -301,14 +309,6 @@
   return { 400, { "body", "malformed or ambiguous length, or malformed chunk" } };
 }
 
-bool
-HasNoBody(const Poco::Net::HTTPResponse& aHead)
-{
-  const auto status = aHead.getStatus();
-  return status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
-         status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-}
-
 enum class HeadStatus : std::uint8_t
 {
   kIncomplete,
@@ -350,6 +350,55 @@
   return message;
 }
 
+unsigned
+StatusOf(const Poco::Net::HTTPResponse& aHead)
+{
+  return static_cast<unsigned>(aHead.getStatus());
+}
+
+/** Whether the interim answer declares a body. It ends with its head all the same; if a server sent
+ * one, its bytes would be read as the final answer. */
+bool
+DeclaresBody(const Poco::Net::HTTPResponse& aHead)
+{
+  return aHead.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) ||
+         aHead.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
+}
+
+/** Removes the interim answer in aProgress from aBuffer. Returns the error of one that is not
+ * accepted. */
+std::optional<UserError>
+SkipInterimAnswer(std::string& aBuffer, ResponseProgress& aProgress)
+{
+  if (DeclaresBody(*aProgress.head_)) {
+    return UserError{ "interim response", "declares a body" };
+  }
+  aProgress.interimAnswers_ += 1;
+  aProgress.interimBytes_ += aProgress.bodyStart_;
+  aProgress.closesAfterAnswer_ = aProgress.closesAfterAnswer_ || !aProgress.head_->getKeepAlive();
+  if (aProgress.interimAnswers_ > kMaxInterimAnswers ||
+      aProgress.interimBytes_ > kMaxInterimBytes) {
+    return UserError{ "interim responses", "more than the limit" };
+  }
+  aBuffer.erase(0, aProgress.bodyStart_);
+  static_cast<DecodeProgress<Poco::Net::HTTPResponse>&>(aProgress) = {};
+  return std::nullopt;
+}
+
+/** The complete final answer, which is removed from aBuffer. */
+HttpResponseMessage
+RemoveAnswer(std::string& aBuffer, ResponseProgress& aProgress, FramedBody aBody)
+{
+  HttpResponseMessage message = RemoveMessage(aBuffer, aProgress, std::move(aBody));
+  if (aProgress.closesAfterAnswer_) {
+    message.head_.setKeepAlive(false);
+  }
+  const bool answersHead = aProgress.answersHead_;
+  aProgress = {};
+  aProgress.answersHead_ = answersHead;
+  return message;
+}
+
 std::string
 FormatStartLine(const Poco::Net::HTTPRequest& aHead)
 {
@@ -365,9 +414,8 @@
 
 template<typename Head>
 std::string
-FormatMessage(Head& aHead, std::string_view aBody)
+FormatMessage(const Head& aHead, std::string_view aBody)
 {
-  aHead.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
   std::string text = FormatStartLine(aHead);
   text += kLineEnd;
   for (const auto& [name, value] : aHead) {
@@ -444,19 +492,28 @@
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 ContinueHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes, ResponseProgress& aProgress)
 {
-  switch (FindHead(aBuffer, kMaxHeaderBytes, aProgress)) {
-    case HeadStatus::kIncomplete:
-      return std::nullopt;
-    case HeadStatus::kTooLarge:
-      return tl::unexpected(UserError{ "response head", "larger than the limit" });
-    case HeadStatus::kMalformed:
-      return tl::unexpected(UserError{ "response head", "malformed" });
-    case HeadStatus::kComplete:
+  while (true) {
+    switch (FindHead(aBuffer, kMaxHeaderBytes, aProgress)) {
+      case HeadStatus::kIncomplete:
+        return std::nullopt;
+      case HeadStatus::kTooLarge:
+        return tl::unexpected(UserError{ "response head", "larger than the limit" });
+      case HeadStatus::kMalformed:
+        return tl::unexpected(UserError{ "response head", "malformed" });
+      case HeadStatus::kComplete:
+        break;
+    }
+    if (!IsInterimStatus(StatusOf(*aProgress.head_))) {
       break;
+    }
+    if (auto error = SkipInterimAnswer(aBuffer, aProgress)) {
+      return tl::unexpected(std::move(*error));
+    }
+  }
+  if (aProgress.answersHead_ || IsBodilessStatus(StatusOf(*aProgress.head_))) {
+    return RemoveAnswer(aBuffer, aProgress, FramedBody{ {}, aProgress.bodyStart_ });
   }
-  const auto defaultLength =
-    HasNoBody(*aProgress.head_) ? std::optional<std::size_t>(0) : std::nullopt;
-  auto framed = DecodeBody(aBuffer, aProgress, aMaxBodyBytes, defaultLength);
+  auto framed = DecodeBody(aBuffer, aProgress, aMaxBodyBytes, std::nullopt);
   if (!framed && framed.error() == BodyError::kNoLength &&
       aBuffer.size() - aProgress.bodyStart_ <= aMaxBodyBytes) {
     // The body ends when the connection closes, see ParseCloseDelimitedResponse().
@@ -468,7 +525,7 @@
   if (!*framed) {
     return std::nullopt;
   }
-  return RemoveMessage(aBuffer, aProgress, std::move(**framed));
+  return RemoveAnswer(aBuffer, aProgress, std::move(**framed));
 }
 
 tl::expected<HttpResponseMessage, UserError>
@@ -479,6 +536,9 @@
     return tl::unexpected(UserError{ "response head", "incomplete, malformed or too large" });
   }
   const Poco::Net::HTTPResponse& head = *progress.head_;
+  if (IsInterimStatus(StatusOf(head))) {
+    return tl::unexpected(UserError{ "response", "ends after an interim one" });
+  }
   const bool isCloseDelimited = HasUnambiguousLength(head) && !head.hasContentLength() &&
                                 !head.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
   if (!isCloseDelimited || aBuffer.size() - progress.bodyStart_ > aMaxBodyBytes) {
@@ -490,13 +550,25 @@
 std::string
 FormatHttp(Poco::Net::HTTPRequest& aHead, std::string_view aBody)
 {
+  aHead.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
   return FormatMessage(aHead, aBody);
 }
 
 std::string
 FormatHttp(Poco::Net::HTTPResponse& aHead, std::string_view aBody)
 {
+  if (IsBodilessStatus(StatusOf(aHead))) {
+    return FormatHttpHead(aHead);
+  }
+  aHead.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
   return FormatMessage(aHead, aBody);
 }
 
+std::string
+FormatHttpHead(Poco::Net::HTTPResponse& aHead)
+{
+  aHead.erase(Poco::Net::HTTPMessage::CONTENT_LENGTH);
+  return FormatMessage(aHead, {});
+}
+
 } // namespace fulmarway
--- a/packages/wire/HttpFraming.h
+++ b/packages/wire/HttpFraming.h
@@ -9,6 +9,7 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -46,7 +47,17 @@
 };
 
 using RequestProgress = DecodeProgress<Poco::Net::HTTPRequest>;
-using ResponseProgress = DecodeProgress<Poco::Net::HTTPResponse>;
+
+struct ResponseProgress : DecodeProgress<Poco::Net::HTTPResponse>
+{
+  /** The request was HEAD, so the answer ends with its head. */
+  bool answersHead_ = false;
+  /** Interim answers that were skipped, and their bytes. */
+  std::uint32_t interimAnswers_ = 0;
+  std::size_t interimBytes_ = 0;
+  /** One of them announced that the connection is closed after the final answer. */
+  bool closesAfterAnswer_ = false;
+};
 
 /** Removes the first complete request from aBuffer; nullopt while bytes are missing. After an error
  * the caller of this function must send the error response and close the connection. */
@@ -67,14 +78,14 @@
                     std::size_t aMaxBodyBytes,
                     RequestProgress& aProgress);
 
-/** Removes the first complete response from aBuffer; nullopt while bytes are missing. A response
- * without a declared length ends with the connection, see ParseCloseDelimitedResponse(). */
+/** Removes the first complete final response from aBuffer, and the interim responses (1xx) before
+ * it; nullopt while bytes are missing. A response without a declared length ends with the
+ * connection, see ParseCloseDelimitedResponse(). */
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 ExtractHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes);
 
-/** The same from aProgress on, which must belong to aBuffer and is reset when a response was
- * removed.
- */
+/** The same from aProgress on, which must belong to aBuffer and is reset, but for answersHead_,
+ * when a response was removed. */
 tl::expected<std::optional<HttpResponseMessage>, UserError>
 ContinueHttpResponse(std::string& aBuffer, std::size_t aMaxBodyBytes, ResponseProgress& aProgress);
 
@@ -88,7 +99,12 @@
 std::string
 FormatHttp(Poco::Net::HTTPRequest& aHead, std::string_view aBody);
 
+/** The same. An answer whose status excludes a body has neither a body nor a length. */
 std::string
 FormatHttp(Poco::Net::HTTPResponse& aHead, std::string_view aBody);
 
+/** The answer to a HEAD request: the head as bytes, without a length. */
+std::string
+FormatHttpHead(Poco::Net::HTTPResponse& aHead);
+
 } // namespace fulmarway
--- a/packages/wire/tests/HttpFuzzTest.cpp
+++ b/packages/wire/tests/HttpFuzzTest.cpp
@@ -7,6 +7,7 @@
 #include "wire/HttpFraming.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 #include <rapidcheck.h>
 
 using namespace fulmarway;
@@ -114,6 +115,83 @@
   return extracted;
 }
 
+/** What a reader sees of one answer on a connection. */
+struct SeenAnswer
+{
+  unsigned status_ = 0;
+  std::string body_;
+
+  bool operator==(const SeenAnswer&) const = default;
+};
+
+/** Answers of one connection, and whether the reader gave up after them. */
+struct SeenAnswers
+{
+  std::vector<SeenAnswer> answers_;
+  bool isRefused_ = false;
+
+  bool operator==(const SeenAnswers&) const = default;
+};
+
+std::string
+AnyChunks(Random& aRandom, std::string_view aBody)
+{
+  std::string text;
+  while (!aBody.empty()) {
+    const std::size_t size = std::min(1 + Below(aRandom, 9), aBody.size());
+    text += std::to_string(size) + "\r\n" + std::string(aBody.substr(0, size)) + "\r\n";
+    aBody.remove_prefix(size);
+  }
+  return text + "0\r\n\r\n";
+}
+
+/** Appends valid interim answers, then a final one, which is returned. */
+SeenAnswer
+AppendAnyAnswer(Random& aRandom, std::string& aText)
+{
+  static const std::string kInterim[] = { "HTTP/1.1 100 Continue\r\n\r\n",
+                                          "HTTP/1.1 102\r\n\r\n",
+                                          "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+                                          "HTTP/1.0 199 \xff\r\nContent-Length: 0\r\n\r\n" };
+  static const unsigned kStatuses[] = { 200, 201, 204, 299, 304, 404, 429, 500, 503, 599 };
+  for (std::size_t count = Below(aRandom, 6); count > 0; --count) {
+    aText += kInterim[Below(aRandom, std::size(kInterim))];
+  }
+  SeenAnswer answer{ kStatuses[Below(aRandom, std::size(kStatuses))], AnyBytes(aRandom, 40) };
+  aText += "HTTP/1.1 " + std::to_string(answer.status_) + " \xe4\r\nNumber: 1\r\n";
+  if (answer.status_ == 204 || answer.status_ == 304) {
+    answer.body_.clear();
+    aText += Any<bool>(aRandom) ? "Content-Length: 500\r\n\r\n" : "\r\n";
+  } else if (Any<bool>(aRandom)) {
+    aText += "Content-Length: " + std::to_string(answer.body_.size()) + "\r\n\r\n" + answer.body_;
+  } else {
+    aText += "Transfer-Encoding: chunked\r\n\r\n" + AnyChunks(aRandom, answer.body_);
+  }
+  return answer;
+}
+
+/** Reads all answers of a text that arrives in parts of these sizes. */
+SeenAnswers
+ReadAnswers(std::string_view aText, const std::function<std::size_t()>& aNextSize)
+{
+  SeenAnswers seen;
+  std::string buffer;
+  ResponseProgress progress;
+  while (!aText.empty() && !seen.isRefused_) {
+    const std::size_t size = std::min(aNextSize(), aText.size());
+    buffer += aText.substr(0, size);
+    aText.remove_prefix(size);
+    auto read = ContinueHttpResponse(buffer, kBodyLimitBytes, progress);
+    while (read && *read) {
+      seen.answers_.push_back(
+        { static_cast<unsigned>((*read)->head_.getStatus()), (*read)->body_ });
+      read = ContinueHttpResponse(buffer, kBodyLimitBytes, progress);
+    }
+    seen.isRefused_ = !read;
+  }
+  return seen;
+}
+
 /** The backend server must decode exactly the request that the node parsed. */
 void
 CheckBackendRequest(const CallerRequest& aRequest)
@@ -169,6 +247,40 @@
   }));
 }
 
+/** Guards against a sequence of interim and final answers that means something else when it arrives
+ * in other parts, and against an interim answer that is taken for a final one. */
+Test(http_fuzz, sequences_of_answers)
+{
+  cr_assert(rc::check("sequences of answers", [] {
+    Random random(*rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()));
+    std::string text;
+    SeenAnswers sent;
+    for (std::size_t count = 1 + Below(random, 4); count > 0; --count) {
+      sent.answers_.push_back(AppendAnyAnswer(random, text));
+    }
+    const auto whole = [&] { return text.size(); };
+    const auto single = [] { return std::size_t{ 1 }; };
+    const auto any = [&] { return 1 + Below(random, 30); };
+    RC_ASSERT(ReadAnswers(text, whole) == sent);
+    RC_ASSERT(ReadAnswers(text, single) == sent);
+    RC_ASSERT(ReadAnswers(text, any) == sent);
+
+    // Damaged, or joined in another order.
+    if (Any<bool>(random)) {
+      text.insert(Below(random, text.size()), AnyWord(random));
+    } else {
+      Corrupt(random, text);
+    }
+    const SeenAnswers damaged = ReadAnswers(text, whole);
+    RC_ASSERT(ReadAnswers(text, single) == damaged);
+    RC_ASSERT(ReadAnswers(text, any) == damaged);
+    for (const SeenAnswer& answer : damaged.answers_) {
+      RC_ASSERT(answer.status_ >= 200U);
+      RC_ASSERT(answer.status_ <= 599U);
+    }
+  }));
+}
+
 // Compares tickets by value, since a corrupted text may be a valid spelling (upper-case digits).
 Test(http_fuzz, ticket_text)
 {
