Treat a status that is no answer as lost when a peer passes it on

Cause: the entry node passed any status of a peer on. It now ends the attempt like a lost answer: the request may have run, and one that must not be repeated is not.

Evidence: routed_calls::status_that_is_no_answer_may_have_run, nine statuses; without the check the reply carries them.

--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -1,5 +1,6 @@
 #include "policy/Outbound.h"
 
+#include "model/HttpStatus.h"
 #include "policy/CallerRequests.h"
 #include "policy/Inbound.h"
 #include "policy/OutboundCalls.h"
@@ -331,6 +332,17 @@
   if (!callId) {
     return;
   }
+  if (!IsFinalStatus(aAnswer.answer_.status_)) {
+    // A peer of another version, or one that is broken, has passed on what is no answer.
+    HandleCallRefused(aState,
+                      aContext,
+                      { aAnswer.attempt_,
+                        { Verdict::kMayHaveRun, Reason::kBackendLost, std::nullopt },
+                        aAnswer.returnedTokens_,
+                        NodeId{},
+                        aAnswer.load_ });
+    return;
+  }
   if (aAnswer.answer_.body_.size() == aAnswer.bodyBytes_) {
     FinishAnswer(aState, aContext, *callId, aAnswer);
     return;
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -39,6 +39,24 @@
   }
 }
 
+/** Guards against what is no answer and reaches the caller as one through a node of another
+ * version.
+ */
+Test(routed_calls, status_that_is_no_answer_may_have_run)
+{
+  for (const std::uint16_t status : { 0, 99, 100, 101, 103, 199, 600, 999, 65535 }) {
+    RoutedSimulation simulation(3);
+    const ExchangeId exchange = simulation.SendRequest(0, "/unsafe/1");
+    const auto [node, request] = OnlyRequest(simulation);
+    simulation.Inject(node, BackendAnswered{ request.id_, Answer{ status }, false });
+    const auto reply = simulation.ReplyTo(0, exchange);
+    cr_assert(reply.has_value(), "%d", status);
+    cr_expect_not(reply->answer_.has_value(), "%d", status);
+    cr_expect(reply->outcome_.verdict_ == Verdict::kMayHaveRun, "%d", status);
+    cr_expect_eq(simulation.BackendRequests().size(), 1U);
+  }
+}
+
 /** Guards against a late second copy of a message between nodes that ends, answers or repeats
  * another attempt: the request runs at most once more, and its caller gets the answer of the
  * attempt that is running. */
