Tell callers that wait with their body to continue

Also, replies to HEAD and with 204 named the length 0.

Cause: nothing read the field. A node reads a request whole, so it decides by the head and the declared length: 413 or 431 at once, else 100, once a request.

Ruled out: HTTP/1.0 callers and bodies that are already here get no 100.

Evidence: http_server::client_that_waits_with_its_body_is_told_to_continue and answers_without_a_body_name_no_length; without the change no 100 arrives.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "node/HttpServer.h"
 
 #include <Poco/Exception.h>
+#include <Poco/String.h>
 #include <algorithm>
 #include <spdlog/spdlog.h>
 
@@ -32,6 +33,17 @@
                                       "Content-Length: 0\r\n"
                                       "Connection: close\r\n\r\n";
 
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/** Whether the client waits for kContinue before it sends its body. Others, also HTTP/1.0 clients
+ * with this field, do not know what it is. */
+bool
+ExpectsContinue(const Poco::Net::HTTPRequest& aHead)
+{
+  return aHead.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1 &&
+         Poco::icompare(aHead.get("Expect", ""), "100-continue") == 0;
+}
+
 /** Refuses a connection above the limit. To the caller this is the same as a full queue. */
 void
 RefuseConnection(Poco::Net::StreamSocket& aSocket)
@@ -80,9 +92,10 @@
       }
       const std::uint64_t id = nextId_++;
       Connection connection{
-        TcpChannel(socket),         peer.host().toString(),     /* input_ */ {},
-        /* exchange_ */ {},         /* keepAlive_ */ true,      /* closing_ */ false,
-        /* isHeadRequest_ */ false, /* hasInputAhead_ */ false, /* lastUsedAt_ */ aNow
+        TcpChannel(socket),         peer.host().toString(),   /* input_ */ {},
+        /* exchange_ */ {},         /* keepAlive_ */ true,    /* closing_ */ false,
+        /* isHeadRequest_ */ false, /* isContinued_ */ false, /* hasInputAhead_ */ false,
+        /* lastUsedAt_ */ aNow
       };
       poller_.Add({ settings_.connectionRole_, id }, socket);
       connections_.emplace(id, std::move(connection));
@@ -147,9 +160,11 @@
     if (!connection.input_.empty() && !connection.requestStartedAt_) {
       connection.requestStartedAt_ = aNow;
     }
+    ContinueExpectedRequest(aId, connection);
     return;
   }
   connection.requestStartedAt_.reset();
+  connection.isContinued_ = false;
   if (connection.input_.empty()) {
     // An idle connection must not keep the memory of its largest request.
     connection.input_.shrink_to_fit();
@@ -162,6 +177,18 @@
   aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**parsed) });
 }
 
+void
+HttpServer::ContinueExpectedRequest(std::uint64_t aId, Connection& aConnection)
+{
+  // The declared length was checked with the head.
+  const auto& head = aConnection.progress_.head_;
+  if (aConnection.isContinued_ || !head || !ExpectsContinue(*head)) {
+    return;
+  }
+  aConnection.isContinued_ = true;
+  Write(aId, aConnection, std::string(kContinue));
+}
+
 void
 HttpServer::Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid)
 {
@@ -201,7 +228,9 @@
   connection.lastUsedAt_ = aNow;
   connection.closing_ = !connection.keepAlive_ || !accepting_ || closesAfterReply_;
   aHead.setKeepAlive(!connection.closing_);
-  std::string bytes = FormatHttp(aHead, aBody);
+  // The length of an answer whose body was not sent here either is not known.
+  std::string bytes =
+    connection.isHeadRequest_ && aBody.empty() ? FormatHttpHead(aHead) : FormatHttp(aHead, aBody);
   if (connection.isHeadRequest_) {
     // The client would parse the body as the start of the next reply.
     bytes.resize(bytes.size() - aBody.size());
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -126,6 +126,8 @@
     bool closing_ = false;
     /** The current request is HEAD, so its reply has no body. */
     bool isHeadRequest_ = false;
+    /** The client of the incomplete request was told to send its body. */
+    bool isContinued_ = false;
     /** The last reply left input that is still to be parsed by ReadRequestSentAhead(). */
     bool hasInputAhead_ = false;
     Instant lastUsedAt_;
@@ -138,6 +140,8 @@
 
   /** Parses the next request once the previous reply is completely written. */
   void ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
+  /** Tells a client that waits before it sends its body to go on. */
+  void ContinueExpectedRequest(std::uint64_t aId, Connection& aConnection);
   void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
   void CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents);
   /** Updates the memory of the connection, if it is still open. */
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -469,6 +469,62 @@
   cr_expect(client.Has("Content-Length: 8") && !client.Has("not sent"));
 }
 
+/** Guards against a client that waits in vain before it sends its body, and against a request that
+ * is not told from the "100 Continue" of another one. */
+Test(http_server, client_that_waits_with_its_body_is_told_to_continue)
+{
+  const std::string expects =
+    "POST /a HTTP/1.1\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n";
+  Server server;
+  LoopbackPeer client(server.address_);
+  for (std::size_t number = 0; number < 2; ++number) {
+    client.received_.clear();
+    client.Send(expects);
+    cr_assert(server.RunUntil([&] { return client.Has("HTTP/1.1 100 Continue\r\n\r\n"); }));
+    server.Settle();
+    client.Send("ab");
+    server.Settle();
+    cr_expect_eq(client.received_.size(), std::string("HTTP/1.1 100 Continue\r\n\r\n").size());
+    client.Send("c");
+    cr_assert(server.RunUntilRequests(number + 1));
+    cr_expect_str_eq(server.requests_[number].message_.body_.c_str(), "abc");
+    server.Reply(number, "answer");
+    cr_assert(server.RunUntil([&] { return client.Has("answer"); }));
+  }
+  // The body is here, the client is of HTTP/1.0, or the body is too long.
+  for (const auto& [request, answer] : std::initializer_list<std::pair<std::string, const char*>>{
+         { expects + "abc", "200" },
+         { "POST /a HTTP/1.0\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n", "" },
+         { "POST /a HTTP/1.1\r\nContent-Length: 1001\r\nExpect: 100-continue\r\n\r\n", "413" } }) {
+    Server other;
+    LoopbackPeer quick(other.address_);
+    quick.Send(request);
+    other.Settle();
+    if (!other.requests_.empty()) {
+      other.Reply(0, "answer");
+    }
+    cr_expect(other.RunUntil([&] { return quick.Has(answer); }), "%s", answer);
+    cr_expect_not(quick.Has("100 Continue"), "%s", answer);
+  }
+}
+
+/** Guards against a length of 0 that is taken for the length that GET would give. */
+Test(http_server, answers_without_a_body_name_no_length)
+{
+  for (const int status : { 200, 204, 304 }) {
+    Server server;
+    LoopbackPeer client(server.address_);
+    client.Send((status == 200 ? "HEAD" : "GET") + std::string(" /a HTTP/1.1\r\n\r\n"));
+    cr_assert(server.RunUntilRequests(1));
+    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
+                                 static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    server.Record(server.server_.Reply(server.requests_[0].exchange_, head, "", server.now_));
+    cr_assert(server.RunUntil([&] { return client.Has("\r\n\r\n"); }));
+    cr_expect(client.Has("HTTP/1.1 " + std::to_string(status)));
+    cr_expect_not(client.Has("Content-Length"), "%d", status);
+  }
+}
+
 Test(http_server, connection_limit)
 {
   Server server(2);
