--- a/standins/backend-server/BackendServer.cpp
+++ b/standins/backend-server/BackendServer.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/URI.h>
 #include <algorithm>
+#include <array>
 
 namespace fulmarway::standins {
 
@@ -179,6 +180,7 @@
   activeRequest.started_ = Clock::now();
   activeRequest.sequence_ =
     executionRecorder_.RecordStart(activeRequest.kind_->path_, activeRequest.rootRequestId_);
+  SendInterimAnswers(aExchange, (settings_.interimAnswers_ + 1) / 2);
   activeRequest.workMs_ = DrawServiceMs(*activeRequest.kind_, settings_.distribution_, random_) *
                           (activeRequest.started_ < slowUntil_ ? slowFactor_ : 1);
   activeRequest.timer_ = loop_.CallAfter(
@@ -256,8 +258,22 @@
 }
 
 void
-BackendServer::Finish(ExchangeId aExchange, const HttpMessage& aResponse)
+BackendServer::SendInterimAnswers(ExchangeId aExchange, std::size_t aCount)
 {
+  for (std::size_t i = 0; i < aCount; ++i) {
+    server_.SendInterim(aExchange, i % 2 == 0 ? 103 : 102);
+  }
+}
+
+void
+BackendServer::Finish(ExchangeId aExchange, HttpMessage aResponse)
+{
+  SendInterimAnswers(aExchange, settings_.interimAnswers_ / 2);
+  if (settings_.invalidStatusEvery_ > 0 && ++finished_ % settings_.invalidStatusEvery_ == 0) {
+    constexpr std::array kInvalidStatuses = { 0, 101, 600, 999 };
+    aResponse.status_ =
+      kInvalidStatuses[finished_ / settings_.invalidStatusEvery_ % kInvalidStatuses.size()];
+  }
   const ActiveRequest& activeRequest = activeRequests_.at(aExchange);
   executionRecorder_.RecordFinish(
     activeRequest.kind_->path_, activeRequest.rootRequestId_, activeRequest.workMs_);
--- a/standins/backend-server/BackendServer.h
+++ b/standins/backend-server/BackendServer.h
@@ -45,6 +45,10 @@
   /** Continues a request after its caller has closed the connection, like a server that does not
    * detect the disconnect. */
   bool keepAbandoned_ = false;
+  /** Interim answers (1xx) that precede each answer, half of them when the request starts. */
+  std::size_t interimAnswers_ = 0;
+  /** One in so many answers has a status that is no answer; 0 for none. */
+  std::size_t invalidStatusEvery_ = 0;
 };
 
 class BackendServer
@@ -76,10 +80,11 @@
   void HandleControl(ExchangeId aExchange, const HttpMessage& aRequest);
   void HandleKindRequest(ExchangeId aExchange, const HttpMessage& aRequest);
   void HandleAbandoned(ExchangeId aExchange);
+  void SendInterimAnswers(ExchangeId aExchange, std::size_t aCount);
   void Start(ExchangeId aExchange);
   void MakeNextDownstreamCall(ExchangeId aExchange);
   void HandleCallResult(ExchangeId aExchange, const CallResult& aResult);
-  void Finish(ExchangeId aExchange, const HttpMessage& aResponse);
+  void Finish(ExchangeId aExchange, HttpMessage aResponse);
   /** Removes a finished or abandoned request and starts queued requests in the freed slot. */
   void Release(ExchangeId aExchange);
   void StartQueued();
@@ -101,6 +106,7 @@
   Clock::time_point slowUntil_;
   bool down_ = false;
   std::size_t nextPeer_ = 0;
+  std::size_t finished_ = 0;
 };
 
 } // namespace fulmarway::standins
--- a/standins/backend-server/Main.cpp
+++ b/standins/backend-server/Main.cpp
@@ -35,6 +35,8 @@
   add("call-retries", "retries of a failed direct call", number("0"));
   add("call-timeout-ms", "timeout of downstream calls without a deadline", number("2000"));
   add("keep-abandoned", "continue requests whose caller has closed the connection");
+  add("interim", "interim answers (1xx) before each answer", number("0"));
+  add("invalid-status-every", "one in so many answers has a status that is none", number("0"));
   return options;
 }
 
@@ -47,6 +49,8 @@
   BackendSettings settings;
   settings.listen_ = Poco::Net::SocketAddress(aParsed["listen"].as<std::string>());
   settings.slots_ = aParsed["slots"].as<std::uint64_t>();
+  settings.interimAnswers_ = aParsed["interim"].as<std::uint64_t>();
+  settings.invalidStatusEvery_ = aParsed["invalid-status-every"].as<std::uint64_t>();
   if (aParsed.count("queue-limit") > 0) {
     settings.queueLimit_ = aParsed["queue-limit"].as<std::uint64_t>();
   }
--- a/standins/support/HttpServer.cpp
+++ b/standins/support/HttpServer.cpp
@@ -93,6 +93,16 @@
   }
 }
 
+void
+HttpServer::SendInterim(ExchangeId aExchange, int aStatus)
+{
+  const auto found = clientOfExchange_.find(aExchange);
+  if (found != clientOfExchange_.end()) {
+    clients_.at(found->second)
+      .connection_->Write("HTTP/1.1 " + std::to_string(aStatus) + " Interim\r\n\r\n");
+  }
+}
+
 void
 HttpServer::Drop(ExchangeId aExchange)
 {
--- a/standins/support/HttpServer.h
+++ b/standins/support/HttpServer.h
@@ -31,6 +31,8 @@
 
   /** Does nothing when the client has closed the connection. */
   void Respond(ExchangeId aExchange, const HttpMessage& aResponse);
+  /** Sends an interim response (1xx), after which the exchange goes on. */
+  void SendInterim(ExchangeId aExchange, int aStatus);
   /** Closes the connection of an exchange without a response. */
   void Drop(ExchangeId aExchange);
 
