--- a/packages/model/Store.h
+++ b/packages/model/Store.h
@@ -24,6 +24,8 @@
   std::string after_;
   /** Position of the first page. Changes from it on may be missing in the later pages. */
   std::optional<std::uint64_t> next_;
+  /** Pages read before this one. */
+  std::uint32_t pagesBefore_ = 0;
 
   bool operator==(const ReadConfiguration&) const = default;
 };
