Do not count a connection closed without an answer as an invalid answer

Evidence: http_client::invalid_answer_is_named, first part; before, the result named "response head" incomplete.

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -261,6 +261,10 @@
 HttpClient::ReadFinalResponse(std::uint64_t aId)
 {
   Connection& connection = connections_.at(aId);
+  if (connection.input_.empty()) {
+    Fail(aId); // Closed without an answer.
+    return;
+  }
   auto parsed = ParseCloseDelimitedResponse(connection.input_, settings_.maxBodyBytes_);
   if (!parsed) {
     Fail(aId, std::move(parsed.error()));
--- a/packages/node/tests/HttpClientTest.cpp
+++ b/packages/node/tests/HttpClientTest.cpp
@@ -246,9 +246,15 @@
   cr_expect(client.results_[0].outcome_ == ExchangeOutcome::kLost);
 }
 
-/** Guards against an invalid answer that leaves no trace. */
+/** Guards against an invalid answer that leaves no trace, and against a closed connection that
+ * counts as one. */
 Test(http_client, invalid_answer_is_named)
 {
+  Client closed;
+  closed.Send(1);
+  closed.AcceptRequest(1)->Close();
+  cr_assert(closed.RunUntilResult());
+  cr_expect_not(closed.results_[0].invalidAnswer_.has_value());
   Client client;
   client.Send(1);
   client.AcceptRequest(1)->Send("HTTP/1.1 600 ?\r\nContent-Length: 0\r\n\r\n");
