Name the caller's request in the log line of an invalid answer

answer_invalid had the node's own id of the request, which no other line has. For the store it names the call now.

--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -436,7 +436,9 @@
 }
 
 void
-Node::RecordInvalidAnswer(const HttpResult& aResult, const char* aServer)
+Node::RecordInvalidAnswer(const HttpResult& aResult,
+                          const char* aServer,
+                          const std::string& aRequest)
 {
   if (!aResult.invalidAnswer_) {
     return;
@@ -444,7 +446,7 @@
   ++counters_.invalidAnswers_;
   LogLine line{ "answer_invalid",
                 { { "server", aServer },
-                  { "request", ToHex(aResult.token_) },
+                  { "request", aRequest },
                   { "subject", '"' + aResult.invalidAnswer_->subject_ + '"' },
                   { "error", '"' + aResult.invalidAnswer_->message_ + '"' } } };
   RunEffect(line);
@@ -455,7 +457,13 @@
 {
   for (HttpResult& result : backend_.ExtractResults()) {
     const RequestId id{ result.token_ };
-    RecordInvalidAnswer(result, "backend_server");
+    const auto request = state_.inbound_.requests_.find(id);
+    const bool isRouted =
+      request != state_.inbound_.requests_.end() && request->second.request_.routed_;
+    RecordInvalidAnswer(result,
+                        "backend_server",
+                        isRouted ? request->second.request_.routed_->requestId_
+                                 : ToHex(result.token_));
     if (result.outcome_ != ExchangeOutcome::kAnswered) {
       queue_.push_back(BackendFailed{ id, result.outcome_ == ExchangeOutcome::kLost });
       continue;
@@ -512,7 +520,7 @@
     return;
   }
   for (HttpResult& result : logService_->ExtractResults()) {
-    RecordInvalidAnswer(result, "log_service");
+    RecordInvalidAnswer(result, "log_service", ToHex(result.token_));
     HandleLogResult(std::move(result));
   }
 }
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -90,7 +90,9 @@
   void CollectPeerEvents();
   void CollectBackendResults();
   /** Counts and logs the answer of the server, if there was one that cannot be used. */
-  void RecordInvalidAnswer(const HttpResult& aResult, const char* aServer);
+  void RecordInvalidAnswer(const HttpResult& aResult,
+                           const char* aServer,
+                           const std::string& aRequest);
   void CollectLogResults();
   void CollectStoreResults();
   void HandleHeartbeatEvents(HttpServerEvents aEvents);
--- a/packages/node/NodeStore.cpp
+++ b/packages/node/NodeStore.cpp
@@ -44,8 +44,8 @@
     return;
   }
   for (HttpResult& result : store_->ExtractResults()) {
-    RecordInvalidAnswer(result, "store");
     const auto task = static_cast<StoreTask>(result.token_);
+    RecordInvalidAnswer(result, "store", std::string(ToString(task)));
     const StoreRequest request = storeCallsInFlight_.at(task);
     storeCallsInFlight_.erase(task);
     StoreReply reply =
