--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -491,20 +491,30 @@
     server.Reply(number, "answer");
     cr_assert(server.RunUntil([&] { return client.Has("answer"); }));
   }
-  // The body is here, the client is of HTTP/1.0, or the body is too long.
-  for (const auto& [request, answer] : std::initializer_list<std::pair<std::string, const char*>>{
-         { expects + "abc", "200" },
-         { "POST /a HTTP/1.0\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n", "" },
-         { "POST /a HTTP/1.1\r\nContent-Length: 1001\r\nExpect: 100-continue\r\n\r\n", "413" } }) {
+  const struct
+  {
+    const char* name_;
+    std::string request_;
+    std::string answer_;
+  } cases[] = {
+    { "the body is here", expects + "abc", "200" },
+    { "client of HTTP/1.0",
+      "POST /a HTTP/1.0\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n",
+      "" },
+    { "body too long",
+      "POST /a HTTP/1.1\r\nContent-Length: 1001\r\nExpect: 100-continue\r\n\r\n",
+      "413" },
+  };
+  for (const auto& row : cases) {
     Server other;
     LoopbackPeer quick(other.address_);
-    quick.Send(request);
+    quick.Send(row.request_);
     other.Settle();
     if (!other.requests_.empty()) {
       other.Reply(0, "answer");
     }
-    cr_expect(other.RunUntil([&] { return quick.Has(answer); }), "%s", answer);
-    cr_expect_not(quick.Has("100 Continue"), "%s", answer);
+    cr_expect(other.RunUntil([&] { return quick.Has(row.answer_); }), "%s", row.name_);
+    cr_expect_not(quick.Has("100 Continue"), "%s", row.name_);
   }
 }
 
