Keep the status of an answer as a number

No caller saw a wrong answer, but the sanitizer build ended at any answer with a status of 512 to 599: the status was held as POCO's HTTPStatus, an enumeration without a fixed underlying type whose values end at 511, so that setting and loading 599 is undefined.

HttpResponseHead takes the place of Poco::Net::HTTPResponse wherever answers are read or written: fields and version as before, status and reason of its own. Ruled out: mapping such statuses to others (a backend server's answer is passed on as it is), and POCO's conversion in its library, which does not read the value through the enumeration in our code.

--- a/packages/node/HttpClient.cpp
+++ b/packages/node/HttpClient.cpp
@@ -16,7 +16,7 @@
 
 /** Whether the answer belongs to another request. */
 bool
-IsStaleAnswer(const std::optional<ExpectedEcho>& aEcho, const Poco::Net::HTTPResponse& aHead)
+IsStaleAnswer(const std::optional<ExpectedEcho>& aEcho, const HttpResponseHead& aHead)
 {
   return aEcho && aHead.has(aEcho->name_) && aHead.get(aEcho->name_) != aEcho->value_;
 }
@@ -24,7 +24,7 @@
 /** Whether the answer may be a second copy of an earlier one on the connection. */
 bool
 MayBeRepeated(const std::optional<ExpectedEcho>& aEcho,
-              const Poco::Net::HTTPResponse& aHead,
+              const HttpResponseHead& aHead,
               bool aHasAnsweredBefore)
 {
   return aEcho && aHasAnsweredBefore && !aHead.has(aEcho->name_);
@@ -239,8 +239,7 @@
     return;
   }
   if (MayBeRepeated(connection.echo_, (*parsed)->head_, connection.hasAnswered_)) {
-    spdlog::warn("event=answer_unattributed status={}",
-                 static_cast<int>((*parsed)->head_.getStatus()));
+    spdlog::warn("event=answer_unattributed status={}", (*parsed)->head_.Status());
     Fail(aId);
     return;
   }
--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -192,8 +192,7 @@
 void
 HttpServer::Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid)
 {
-  Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
-                               Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+  HttpResponseHead head(Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
   // Replaces the status 400 by that of aInvalid and sets the headers.
   const std::string body = FormatInvalidRequest(aInvalid, head);
   head.setKeepAlive(false);
@@ -212,7 +211,7 @@
 
 HttpServerEvents
 HttpServer::Reply(ExchangeId aExchange,
-                  Poco::Net::HTTPResponse& aHead,
+                  HttpResponseHead& aHead,
                   std::string_view aBody,
                   Instant aNow)
 {
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -69,7 +69,7 @@
    * next request: if the replies to requests that were sent ahead read each other, the stack would
    * grow with the input. */
   HttpServerEvents Reply(ExchangeId aExchange,
-                         Poco::Net::HTTPResponse& aHead,
+                         HttpResponseHead& aHead,
                          std::string_view aBody,
                          Instant aNow);
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -27,10 +27,10 @@
 /** A single backend server sends heartbeats, on a few connections at most. */
 constexpr std::size_t kMaxHeartbeatConnections = 64;
 
-Poco::Net::HTTPResponse
+HttpResponseHead
 MakeResponseHead()
 {
-  return { Poco::Net::HTTPMessage::HTTP_1_1, Poco::Net::HTTPResponse::HTTP_OK };
+  return HttpResponseHead(Poco::Net::HTTPResponse::HTTP_OK);
 }
 
 AppendResult
@@ -44,14 +44,13 @@
     case ExchangeOutcome::kAnswered:
       break;
   }
-  const auto status = aResult.response_->head_.getStatus();
+  const auto status = aResult.response_->head_.Status();
   if (status == Poco::Net::HTTPResponse::HTTP_OK) {
     return ParseAppendResponse(aResult.response_->body_) ? AppendResult::kAppended
                                                          : AppendResult::kUnknown;
   }
-  constexpr int kTooManyRequests = 429;
-  return static_cast<int>(status) == kTooManyRequests ? AppendResult::kRefused
-                                                      : AppendResult::kUnknown;
+  constexpr unsigned kTooManyRequests = 429;
+  return status == kTooManyRequests ? AppendResult::kRefused : AppendResult::kUnknown;
 }
 
 /** Sets a new generation and incarnation, which distinguish this process from earlier ones of the
@@ -339,7 +338,7 @@
       interface_.calls_.parseRequest_(arrived.message_.head_, std::move(arrived.message_.body_));
     if (!request) {
       ++counters_.invalidRequests_;
-      Poco::Net::HTTPResponse head = MakeResponseHead();
+      HttpResponseHead head = MakeResponseHead();
       const std::string body = interface_.calls_.formatInvalid_(request.error(), head);
       HandleCallerEvents(callers_.Reply(arrived.exchange_, head, body, now_));
       continue;
@@ -368,8 +367,8 @@
 void
 Node::SendAdminReply(ExchangeId aExchange, const AdminReply& aReply)
 {
-  Poco::Net::HTTPResponse head = MakeResponseHead();
-  head.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aReply.status_));
+  HttpResponseHead head = MakeResponseHead();
+  head.SetStatus(aReply.status_);
   head.setContentType(aReply.contentType_);
   if (!aReply.allow_.empty()) {
     head.set("Allow", aReply.allow_);
@@ -485,7 +484,7 @@
   for (const HttpResult& result : healthChecks_.ExtractResults()) {
     healthCheckInFlight_ = false;
     const bool isPassed = result.outcome_ == ExchangeOutcome::kAnswered &&
-                          result.response_->head_.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+                          result.response_->head_.Status() == Poco::Net::HTTPResponse::HTTP_OK;
     UpdateHealth(RecordHealthCheck(health_, isPassed, now_));
   }
 }
@@ -536,7 +535,7 @@
     return;
   }
   const bool isAnswered = aResult.outcome_ == ExchangeOutcome::kAnswered &&
-                          aResult.response_->head_.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+                          aResult.response_->head_.Status() == Poco::Net::HTTPResponse::HTTP_OK;
   if (!isAnswered) {
     queue_.push_back(LogReadFailed{});
     return;
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -34,7 +34,7 @@
 void
 Node::RunEffect(ReplyToCaller& aEffect)
 {
-  Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1, Poco::Net::HTTPResponse::HTTP_OK);
+  HttpResponseHead head(Poco::Net::HTTPResponse::HTTP_OK);
   const std::string body = interface_.calls_.formatReply_(aEffect.reply_, head);
   HandleCallerEvents(callers_.Reply(aEffect.exchange_, head, body, now_));
 }
--- a/packages/node/NodeInterface.cpp
+++ b/packages/node/NodeInterface.cpp
@@ -8,7 +8,7 @@
 MakeAnswer(HttpResponseMessage aMessage)
 {
   Answer answer;
-  answer.status_ = static_cast<std::uint16_t>(aMessage.head_.getStatus());
+  answer.status_ = static_cast<std::uint16_t>(aMessage.head_.Status());
   if (const std::string& type = aMessage.head_.getContentType();
       type != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_TYPE) {
     answer.contentType_ = type;
--- a/packages/node/NodeInterface.h
+++ b/packages/node/NodeInterface.h
@@ -25,20 +25,19 @@
                                                             std::string aBody)>
     parseRequest_;
   /** Sets status and headers; returns the body. */
-  std::function<std::string(const CallerReply& aReply, Poco::Net::HTTPResponse& aHead)>
-    formatReply_;
-  std::function<std::string(const InvalidRequest& aInvalid, Poco::Net::HTTPResponse& aHead)>
+  std::function<std::string(const CallerReply& aReply, HttpResponseHead& aHead)> formatReply_;
+  std::function<std::string(const InvalidRequest& aInvalid, HttpResponseHead& aHead)>
     formatInvalid_;
   std::function<void(const BackendRequest& aRequest, Poco::Net::HTTPRequest& aHead)>
     formatBackendRequest_;
   /** The header field that identifies the answer; nullopt if answers are matched by order only. */
   std::function<std::optional<ExpectedEcho>(const BackendRequest& aRequest)> expectedEcho_;
-  std::function<bool(const Poco::Net::HTTPResponse& aHead)> isRefusedByBackend_;
+  std::function<bool(const HttpResponseHead& aHead)> isRefusedByBackend_;
   /** The answer to pass on; nullopt when it did not come from the backend server itself. */
   std::function<std::optional<Answer>(HttpResponseMessage aMessage)> makeAnswer_;
   /** The load that the backend server reports with an answer; nullopt without a valid report. */
-  std::function<std::optional<BackendLoad>(const Poco::Net::HTTPResponse& aHead)> backendLoad_;
-  std::function<BackendSignals(const Poco::Net::HTTPResponse& aHead)> backendSignals_;
+  std::function<std::optional<BackendLoad>(const HttpResponseHead& aHead)> backendLoad_;
+  std::function<BackendSignals(const HttpResponseHead& aHead)> backendSignals_;
 };
 
 /** A heartbeat or a deregistration of the backend server. */
--- a/packages/node/NodeStore.cpp
+++ b/packages/node/NodeStore.cpp
@@ -31,8 +31,7 @@
 void
 Node::ReplyToHeartbeat(ExchangeId aExchange, std::uint16_t aStatus)
 {
-  Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1, Poco::Net::HTTPResponse::HTTP_OK);
-  head.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aStatus));
+  HttpResponseHead head(aStatus);
   head.setContentType("application/json");
   HandleHeartbeatEvents(heartbeats_->Reply(aExchange, head, "{}", now_));
 }
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -77,8 +77,7 @@
 
   void Reply(std::size_t aRequest, const std::string& aBody)
   {
-    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
-                                 Poco::Net::HTTPResponse::HTTP_OK);
+    HttpResponseHead head(Poco::Net::HTTPResponse::HTTP_OK);
     Record(server_.Reply(requests_.at(aRequest).exchange_, head, aBody, now_));
   }
 
@@ -526,8 +525,7 @@
     LoopbackPeer client(server.address_);
     client.Send((status == 200 ? "HEAD" : "GET") + std::string(" /a HTTP/1.1\r\n\r\n"));
     cr_assert(server.RunUntilRequests(1));
-    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
-                                 static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    HttpResponseHead head(status);
     server.Record(server.server_.Reply(server.requests_[0].exchange_, head, "", server.now_));
     cr_assert(server.RunUntil([&] { return client.Has("\r\n\r\n"); }));
     cr_expect(client.Has("HTTP/1.1 " + std::to_string(status)));
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -256,7 +256,7 @@
 
 /** Parses "VERSION STATUS REASON". */
 bool
-ParseStartLine(std::string_view aLine, Poco::Net::HTTPResponse& aHead)
+ParseStartLine(std::string_view aLine, HttpResponseHead& aHead)
 {
   constexpr std::size_t kStatusDigits = 3;
   const std::size_t versionEnd = aLine.find(' ');
@@ -273,8 +273,7 @@
     return false;
   }
   aHead.setVersion(std::string(aLine.substr(0, versionEnd)));
-  aHead.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(*status));
-  aHead.setReason(std::string(rest.substr(std::min(kStatusDigits + 1, rest.size()))));
+  aHead.SetStatus(number, std::string(rest.substr(std::min(kStatusDigits + 1, rest.size()))));
   return true;
 }
 
@@ -350,16 +349,10 @@
   return message;
 }
 
-unsigned
-StatusOf(const Poco::Net::HTTPResponse& aHead)
-{
-  return static_cast<unsigned>(aHead.getStatus());
-}
-
 /** Whether the interim answer declares a body. It ends with its head all the same; if a server sent
  * one, its bytes would be read as the final answer. */
 bool
-DeclaresBody(const Poco::Net::HTTPResponse& aHead)
+DeclaresBody(const HttpResponseHead& aHead)
 {
   return aHead.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) ||
          aHead.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
@@ -381,7 +374,7 @@
     return UserError{ "interim responses", "more than the limit" };
   }
   aBuffer.erase(0, aProgress.bodyStart_);
-  static_cast<DecodeProgress<Poco::Net::HTTPResponse>&>(aProgress) = {};
+  static_cast<DecodeProgress<HttpResponseHead>&>(aProgress) = {};
   return std::nullopt;
 }
 
@@ -406,10 +399,9 @@
 }
 
 std::string
-FormatStartLine(const Poco::Net::HTTPResponse& aHead)
+FormatStartLine(const HttpResponseHead& aHead)
 {
-  return aHead.getVersion() + ' ' + std::to_string(static_cast<int>(aHead.getStatus())) + ' ' +
-         aHead.getReason();
+  return aHead.getVersion() + ' ' + std::to_string(aHead.Status()) + ' ' + aHead.Reason();
 }
 
 template<typename Head>
@@ -503,14 +495,14 @@
       case HeadStatus::kComplete:
         break;
     }
-    if (!IsInterimStatus(StatusOf(*aProgress.head_))) {
+    if (!IsInterimStatus(aProgress.head_->Status())) {
       break;
     }
     if (auto error = SkipInterimAnswer(aBuffer, aProgress)) {
       return tl::unexpected(std::move(*error));
     }
   }
-  if (aProgress.answersHead_ || IsBodilessStatus(StatusOf(*aProgress.head_))) {
+  if (aProgress.answersHead_ || IsBodilessStatus(aProgress.head_->Status())) {
     return RemoveAnswer(aBuffer, aProgress, FramedBody{ {}, aProgress.bodyStart_ });
   }
   auto framed = DecodeBody(aBuffer, aProgress, aMaxBodyBytes, std::nullopt);
@@ -535,8 +527,8 @@
   if (FindHead(aBuffer, kMaxHeaderBytes, progress) != HeadStatus::kComplete) {
     return tl::unexpected(UserError{ "response head", "incomplete, malformed or too large" });
   }
-  const Poco::Net::HTTPResponse& head = *progress.head_;
-  if (IsInterimStatus(StatusOf(head))) {
+  const HttpResponseHead& head = *progress.head_;
+  if (IsInterimStatus(head.Status())) {
     return tl::unexpected(UserError{ "response", "ends after an interim one" });
   }
   const bool isCloseDelimited = HasUnambiguousLength(head) && !head.hasContentLength() &&
@@ -555,9 +547,9 @@
 }
 
 std::string
-FormatHttp(Poco::Net::HTTPResponse& aHead, std::string_view aBody)
+FormatHttp(HttpResponseHead& aHead, std::string_view aBody)
 {
-  if (IsBodilessStatus(StatusOf(aHead))) {
+  if (IsBodilessStatus(aHead.Status())) {
     return FormatHttpHead(aHead);
   }
   aHead.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
@@ -565,7 +557,7 @@
 }
 
 std::string
-FormatHttpHead(Poco::Net::HTTPResponse& aHead)
+FormatHttpHead(HttpResponseHead& aHead)
 {
   aHead.erase(Poco::Net::HTTPMessage::CONTENT_LENGTH);
   return FormatMessage(aHead, {});
--- a/packages/wire/HttpFraming.h
+++ b/packages/wire/HttpFraming.h
@@ -8,7 +8,6 @@
 #include "wire/HttpMapping.h"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,7 +25,7 @@
 };
 
 using HttpRequestMessage = HttpMessage<Poco::Net::HTTPRequest>;
-using HttpResponseMessage = HttpMessage<Poco::Net::HTTPResponse>;
+using HttpResponseMessage = HttpMessage<HttpResponseHead>;
 
 /** How far the first message of a buffer has been decoded. Without it, a message that arrives in
  * many small parts would be decoded from its start at each of them, and four answers of 4 MB that
@@ -48,7 +47,7 @@
 
 using RequestProgress = DecodeProgress<Poco::Net::HTTPRequest>;
 
-struct ResponseProgress : DecodeProgress<Poco::Net::HTTPResponse>
+struct ResponseProgress : DecodeProgress<HttpResponseHead>
 {
   /** The request was HEAD, so the answer ends with its head. */
   bool answersHead_ = false;
@@ -101,10 +100,10 @@
 
 /** The same. An answer whose status excludes a body has neither a body nor a length. */
 std::string
-FormatHttp(Poco::Net::HTTPResponse& aHead, std::string_view aBody);
+FormatHttp(HttpResponseHead& aHead, std::string_view aBody);
 
 /** The answer to a HEAD request: the head as bytes, without a length. */
 std::string
-FormatHttpHead(Poco::Net::HTTPResponse& aHead);
+FormatHttpHead(HttpResponseHead& aHead);
 
 } // namespace fulmarway
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -149,7 +149,7 @@
 }
 
 void
-SetRetryAfter(Duration aDelay, HTTPResponse& aHead)
+SetRetryAfter(Duration aDelay, HttpResponseHead& aHead)
 {
   const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(aDelay).count();
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(aDelay).count();
@@ -157,12 +157,6 @@
   aHead.set(header::kRetryAfterMs, std::to_string(milliseconds));
 }
 
-void
-SetStatus(std::uint16_t aStatus, HTTPResponse& aHead)
-{
-  aHead.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(aStatus));
-}
-
 std::uint16_t
 StatusOfNotRun(Reason aReason)
 {
@@ -252,7 +246,7 @@
 }
 
 std::string
-FormatCallerReply(const CallerReply& aReply, HTTPResponse& aHead)
+FormatCallerReply(const CallerReply& aReply, HttpResponseHead& aHead)
 {
   const Refusal& outcome = aReply.outcome_;
   aHead.set(header::kVerdict, std::string(ToString(outcome.verdict_)));
@@ -269,21 +263,21 @@
     SetRetryAfter(*outcome.retryAfter_, aHead);
   }
   if (aReply.answer_) {
-    SetStatus(aReply.answer_->status_, aHead);
+    aHead.SetStatus(aReply.answer_->status_);
     if (!aReply.answer_->contentType_.empty()) {
       aHead.setContentType(aReply.answer_->contentType_);
     }
     return aReply.answer_->body_;
   }
-  SetStatus(StatusOf(outcome), aHead);
+  aHead.SetStatus(StatusOf(outcome));
   aHead.setContentType("text/plain");
   return Explain(outcome);
 }
 
 std::string
-FormatInvalidRequest(const InvalidRequest& aInvalid, HTTPResponse& aHead)
+FormatInvalidRequest(const InvalidRequest& aInvalid, HttpResponseHead& aHead)
 {
-  SetStatus(aInvalid.status_, aHead);
+  aHead.SetStatus(aInvalid.status_);
   const std::string verdict(ToString(aInvalid.verdict_));
   aHead.set(header::kVerdict, verdict);
   const Reason reason = aInvalid.status_ == HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE
@@ -315,9 +309,9 @@
 }
 
 bool
-IsRefusedByBackend(const HTTPResponse& aHead)
+IsRefusedByBackend(const HttpResponseHead& aHead)
 {
-  return aHead.getStatus() == HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+  return aHead.Status() == HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
          aHead.get(header::kVerdict, "") == ToString(Verdict::kNotRun);
 }
 
@@ -351,13 +345,13 @@
 }
 
 std::optional<BackendLoad>
-ParseBackendLoad(const Poco::Net::HTTPResponse& aHead)
+ParseBackendLoad(const HttpResponseHead& aHead)
 {
   return aHead.has(header::kLoad) ? ParseLoadList(aHead.get(header::kLoad)) : std::nullopt;
 }
 
 BackendSignals
-ParseBackendSignals(const Poco::Net::HTTPResponse& aHead)
+ParseBackendSignals(const HttpResponseHead& aHead)
 {
   return { aHead.has(header::kRateLimit) ? ParseDecimal(aHead.get(header::kRateLimit))
                                          : std::nullopt };
--- a/packages/wire/HttpMapping.h
+++ b/packages/wire/HttpMapping.h
@@ -8,9 +8,9 @@
 #include "model/BackendSignals.h"
 #include "model/CallerRequest.h"
 #include "model/Error.h"
+#include "wire/HttpResponseHead.h"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,10 +60,10 @@
 /** Sets status and headers and returns the body: that of the answer, or a line that explains the
  * refusal. */
 std::string
-FormatCallerReply(const CallerReply& aReply, Poco::Net::HTTPResponse& aHead);
+FormatCallerReply(const CallerReply& aReply, HttpResponseHead& aHead);
 
 std::string
-FormatInvalidRequest(const InvalidRequest& aInvalid, Poco::Net::HTTPResponse& aHead);
+FormatInvalidRequest(const InvalidRequest& aInvalid, HttpResponseHead& aHead);
 
 std::uint16_t
 StatusOf(const Refusal& aRefusal);
@@ -74,7 +74,7 @@
 
 /** Whether the backend server reports that it refused the request without executing it. */
 bool
-IsRefusedByBackend(const Poco::Net::HTTPResponse& aHead);
+IsRefusedByBackend(const HttpResponseHead& aHead);
 
 /** Parses the numbers of running and waiting requests, of slots, and the work time in percent,
  * separated by commas. The last one may be absent. nullopt for any other text, including numbers
@@ -84,10 +84,10 @@
 
 /** The load in the header kLoad. */
 std::optional<BackendLoad>
-ParseBackendLoad(const Poco::Net::HTTPResponse& aHead);
+ParseBackendLoad(const HttpResponseHead& aHead);
 
 /** The signals in the header kRateLimit. */
 BackendSignals
-ParseBackendSignals(const Poco::Net::HTTPResponse& aHead);
+ParseBackendSignals(const HttpResponseHead& aHead);
 
 } // namespace fulmarway
--- a/packages/wire/tests/BackendLoadTest.cpp
+++ b/packages/wire/tests/BackendLoadTest.cpp
@@ -54,7 +54,7 @@
 /** Guards against a malformed limit on requests per second that is taken for a limit. */
 Test(backend_signals, limit_is_a_decimal_number)
 {
-  Poco::Net::HTTPResponse head;
+  HttpResponseHead head;
   cr_expect(ParseBackendSignals(head) == BackendSignals{});
   head.set("Fulmarway-Rate-Limit", "7.5");
   cr_expect(ParseBackendSignals(head) == BackendSignals{ 7.5 });
--- a/packages/wire/tests/HttpAnswerStatusTest.cpp
+++ b/packages/wire/tests/HttpAnswerStatusTest.cpp
@@ -56,7 +56,7 @@
       buffer = whole + "rest";
       const auto answer = ExtractHttpResponse(buffer, kBodyLimitBytes);
       cr_assert(answer && *answer, "%d times %.12s", count, interim.c_str());
-      cr_expect_eq((*answer)->head_.getStatus(), Poco::Net::HTTPResponse::HTTP_OK);
+      cr_expect_eq((*answer)->head_.Status(), Poco::Net::HTTPResponse::HTTP_OK);
       cr_expect_str_eq((*answer)->body_.c_str(), "ab");
       cr_expect_str_eq(buffer.c_str(), "rest");
     }
--- a/packages/wire/tests/HttpFuzzTest.cpp
+++ b/packages/wire/tests/HttpFuzzTest.cpp
@@ -183,8 +183,7 @@
     aText.remove_prefix(size);
     auto read = ContinueHttpResponse(buffer, kBodyLimitBytes, progress);
     while (read && *read) {
-      seen.answers_.push_back(
-        { static_cast<unsigned>((*read)->head_.getStatus()), (*read)->body_ });
+      seen.answers_.push_back({ (*read)->head_.Status(), (*read)->body_ });
       read = ContinueHttpResponse(buffer, kBodyLimitBytes, progress);
     }
     seen.isRefused_ = !read;
--- a/packages/wire/tests/HttpMappingTest.cpp
+++ b/packages/wire/tests/HttpMappingTest.cpp
@@ -52,10 +52,10 @@
   return rows;
 }
 
-HTTPResponse
+HttpResponseHead
 Reply(const CallerReply& aReply)
 {
-  HTTPResponse head;
+  HttpResponseHead head;
   const std::string body = FormatCallerReply(aReply, head);
   cr_assert(body.starts_with(std::string(ToString(aReply.outcome_.verdict_)) + ": "));
   return head;
@@ -66,8 +66,8 @@
 {
   const std::string reason(ToString(aReason));
   CallerReply reply{ { aVerdict, aReason, std::chrono::milliseconds(1001) }, {}, "c-1", Ticket{} };
-  HTTPResponse head = Reply(reply);
-  cr_assert_eq(head.getStatus(), aStatus, "%s: %d", reason.c_str(), head.getStatus());
+  HttpResponseHead head = Reply(reply);
+  cr_assert_eq(head.Status(), aStatus, "%s: %d", reason.c_str(), head.Status());
   cr_assert(ParseVerdict(head.get(header::kVerdict)) == aVerdict);
   cr_assert_eq(head.get(header::kReason), reason);
   cr_assert_eq(head.get(header::kRootRequestId), "c-1");
@@ -113,12 +113,12 @@
 
 Test(http_mapping, ordinary_answer_has_no_reason)
 {
-  HTTPResponse head;
+  HttpResponseHead head;
   const CallerReply reply{
     { Verdict::kRan, Reason::kNone, {} }, Answer{ 418, "a/b", "x" }, "", {}
   };
   cr_assert_eq(FormatCallerReply(reply, head), "x");
-  cr_assert_eq(head.getStatus(), 418);
+  cr_assert_eq(head.Status(), 418);
   cr_assert_eq(head.getContentType(), "a/b");
   cr_assert_eq(head.get(header::kVerdict), "ran");
   cr_assert_not(head.has(header::kReason));
@@ -127,9 +127,9 @@
 Test(http_mapping, oversized_body_is_refused_as_too_large)
 {
   for (const std::uint16_t status : { 400, 404, 405, 413, 431 }) {
-    HTTPResponse head;
+    HttpResponseHead head;
     (void)FormatInvalidRequest({ status, { "body", "m" }, Verdict::kNotRun }, head);
-    cr_assert_eq(head.getStatus(), status);
+    cr_assert_eq(head.Status(), status);
     cr_assert_eq(head.get(header::kVerdict), "not-run");
     cr_assert_eq(head.get(header::kReason), status == 413 ? "too-large" : "invalid-request");
   }
@@ -155,7 +155,7 @@
     }
     const auto parsed = ParseCallerRequest(request, "");
     cr_assert_not(parsed.has_value());
-    HTTPResponse head;
+    HttpResponseHead head;
     (void)FormatInvalidRequest(parsed.error(), head);
     cr_assert_eq(head.get(header::kVerdict), ToString(entry.verdict_), "%s", entry.attempt_);
   }
--- a/standins/support/HttpMessage.cpp
+++ b/standins/support/HttpMessage.cpp
@@ -35,9 +35,9 @@
 }
 
 void
-CopyHead(const Poco::Net::HTTPResponse& aHead, HttpMessage& aMessage)
+CopyHead(const HttpResponseHead& aHead, HttpMessage& aMessage)
 {
-  aMessage.status_ = aHead.getStatus();
+  aMessage.status_ = aHead.Status();
 }
 
 /** kExtract is ExtractHttpRequest or ExtractHttpResponse. */
@@ -121,9 +121,8 @@
 std::string
 FormatResponse(const HttpMessage& aMessage)
 {
-  const auto status = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aMessage.status_);
   std::string text = "HTTP/1.1 " + std::to_string(aMessage.status_) + " " +
-                     Poco::Net::HTTPResponse::getReasonForStatus(status) + "\r\n";
+                     ReasonOfStatus(aMessage.status_) + "\r\n";
   AppendHeadersAndBody(aMessage, text);
   return text;
 }
