Read the answers to fulmarctl as those to a node

fulmarctl took 103 for the answer, and 000 and 600 too: its library skips 100 only. A node sends none of these, but a broken one, or whatever else listens at the address, may. fulmarctl now reads with ContinueHttpResponse(), so that one place decides on every hop what an answer is. Two lengths in one head are refused too.

Before: http_transport::answers fails at the final answer after 100 and 103. After: it passes; the other rows are as before.

--- a/packages/ctl/HttpTransport.cpp
+++ b/packages/ctl/HttpTransport.cpp
@@ -2,15 +2,16 @@
 
 #include "model/Address.h"
 #include "wire/ControlJson.h"
+#include "wire/HttpFraming.h"
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
+#include <array>
 #include <chrono>
-#include <istream>
-#include <ostream>
+#include <optional>
+#include <string_view>
+#include <utility>
 
 namespace fulmarway {
 
@@ -33,25 +34,48 @@
   return aError.message().empty() ? aError.name() : aError.message();
 }
 
-/** Reads the body in chunks and checks the deadline before each, so that a node that sends slowly
+tl::unexpected<TransportError>
+MakeNoReply(std::string aMessage)
+{
+  return tl::unexpected(TransportError{ TransportErrorCode::kNoReply, std::move(aMessage) });
+}
+
+void
+SendAll(Poco::Net::StreamSocket& aSocket, std::string_view aBytes, Clock::time_point aDeadline)
+{
+  while (!aBytes.empty()) {
+    aSocket.setSendTimeout(RemainingTime(aDeadline));
+    const int sent = aSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    aBytes.remove_prefix(static_cast<std::size_t>(std::max(sent, 0)));
+  }
+}
+
+/** Reads the final answer. Checks the deadline before each part, so that a node that sends slowly
  * cannot extend it. */
-std::string
-ReadBody(std::istream& aStream, Poco::Net::StreamSocket& aSocket, Clock::time_point aDeadline)
+tl::expected<HttpReply, TransportError>
+ReceiveReply(Poco::Net::StreamSocket& aSocket, Clock::time_point aDeadline)
 {
-  std::string body;
-  char chunk[4096];
-  while (aStream.good()) {
-    if (Clock::now() >= aDeadline) {
-      throw Poco::TimeoutException("the reply did not arrive completely within the timeout");
-    }
+  std::string buffer;
+  ResponseProgress progress;
+  std::array<char, 4096> chunk{};
+  while (Clock::now() < aDeadline) {
     aSocket.setReceiveTimeout(RemainingTime(aDeadline));
-    aStream.read(chunk, sizeof chunk);
-    body.append(chunk, static_cast<std::size_t>(aStream.gcount()));
-    if (body.size() > kMaxControlJsonBytes) {
-      throw Poco::DataFormatException("the reply is larger than any control document");
+    const int count = aSocket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+    tl::expected<std::optional<HttpResponseMessage>, UserError> answer;
+    if (count > 0) {
+      buffer.append(chunk.data(), static_cast<std::size_t>(count));
+      answer = ContinueHttpResponse(buffer, kMaxControlJsonBytes, progress);
+    } else {
+      answer = ParseCloseDelimitedResponse(std::move(buffer), kMaxControlJsonBytes);
+    }
+    if (!answer) {
+      return MakeNoReply(answer.error().subject_ + ": " + answer.error().message_);
+    }
+    if (*answer) {
+      return HttpReply{ static_cast<int>((*answer)->head_.Status()), std::move((*answer)->body_) };
     }
   }
-  return body;
+  return MakeNoReply("the reply did not arrive completely within the timeout");
 }
 
 } // namespace
@@ -71,31 +95,17 @@
     return tl::unexpected(TransportError{ TransportErrorCode::kNotConnected, FormatError(error) });
   }
   try {
-    socket.setSendTimeout(RemainingTime(deadline));
-    socket.setReceiveTimeout(RemainingTime(deadline));
-    Poco::Net::HTTPClientSession session(socket);
-    session.setTimeout(RemainingTime(deadline));
     Poco::Net::HTTPRequest request(
       aRequest.method_, aRequest.path_, Poco::Net::HTTPMessage::HTTP_1_1);
     request.setHost(aNode);
     request.setKeepAlive(false);
     if (!aRequest.body_.empty()) {
       request.setContentType("application/json");
-      request.setContentLength64(static_cast<Poco::Int64>(aRequest.body_.size()));
-    }
-    session.sendRequest(request) << aRequest.body_;
-    Poco::Net::HTTPResponse response;
-    std::istream& stream = session.receiveResponse(response);
-    std::string body = ReadBody(stream, session.socket(), deadline);
-    const auto length = response.hasContentLength() ? response.getContentLength64() : -1;
-    if (length >= 0 && static_cast<std::size_t>(length) != body.size()) {
-      return tl::unexpected(
-        TransportError{ TransportErrorCode::kNoReply,
-                        "the node closed the connection before the end of the reply" });
     }
-    return HttpReply{ static_cast<int>(response.getStatus()), std::move(body) };
+    SendAll(socket, FormatHttp(request, aRequest.body_), deadline);
+    return ReceiveReply(socket, deadline);
   } catch (const Poco::Exception& error) {
-    return tl::unexpected(TransportError{ TransportErrorCode::kNoReply, FormatError(error) });
+    return MakeNoReply(FormatError(error));
   }
 }
 
