--- a/packages/wire/tests/HttpFuzzTest.cpp
+++ b/packages/wire/tests/HttpFuzzTest.cpp
@@ -115,22 +115,23 @@
   return extracted;
 }
 
-/** What a reader sees of one answer on a connection. */
-struct SeenAnswer
+/** What a reader sees of one message on a connection. */
+struct SeenMessage
 {
-  unsigned status_ = 0;
+  /** Status of an answer, method and target of a request. */
+  std::string start_;
   std::string body_;
 
-  bool operator==(const SeenAnswer&) const = default;
+  bool operator==(const SeenMessage&) const = default;
 };
 
-/** Answers of one connection, and whether the reader gave up after them. */
-struct SeenAnswers
+/** Messages of one connection, and whether the reader gave up after them. */
+struct SeenMessages
 {
-  std::vector<SeenAnswer> answers_;
+  std::vector<SeenMessage> messages_;
   bool isRefused_ = false;
 
-  bool operator==(const SeenAnswers&) const = default;
+  bool operator==(const SeenMessages&) const = default;
 };
 
 std::string
@@ -145,52 +146,140 @@
   return text + "0\r\n\r\n";
 }
 
+/** Appends the rest of a message: length or transfer coding, and body. */
+void
+AppendBody(Random& aRandom, const std::string& aBody, std::string& aText)
+{
+  if (Any<bool>(aRandom)) {
+    aText += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  } else {
+    aText += "Transfer-Encoding: chunked\r\n\r\n" + AnyChunks(aRandom, aBody);
+  }
+}
+
 /** Appends valid interim answers, then a final one, which is returned. */
-SeenAnswer
+SeenMessage
 AppendAnyAnswer(Random& aRandom, std::string& aText)
 {
   static const std::string kInterim[] = { "HTTP/1.1 100 Continue\r\n\r\n",
                                           "HTTP/1.1 102\r\n\r\n",
                                           "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
                                           "HTTP/1.0 199 \xff\r\nContent-Length: 0\r\n\r\n" };
-  static const unsigned kStatuses[] = { 200, 201, 204, 299, 304, 404, 429, 500, 503, 599 };
+  static const char* kStatuses[] = { "200", "201", "204", "299", "304",
+                                     "404", "429", "500", "503", "599" };
   for (std::size_t count = Below(aRandom, 6); count > 0; --count) {
     aText += kInterim[Below(aRandom, std::size(kInterim))];
   }
-  SeenAnswer answer{ kStatuses[Below(aRandom, std::size(kStatuses))], AnyBytes(aRandom, 40) };
-  aText += "HTTP/1.1 " + std::to_string(answer.status_) + " \xe4\r\nNumber: 1\r\n";
-  if (answer.status_ == 204 || answer.status_ == 304) {
+  SeenMessage answer{ kStatuses[Below(aRandom, std::size(kStatuses))], AnyBytes(aRandom, 40) };
+  aText += "HTTP/1.1 " + answer.start_ + " \xe4\r\nNumber: 1\r\n";
+  if (answer.start_ == "204" || answer.start_ == "304") {
     answer.body_.clear();
     aText += Any<bool>(aRandom) ? "Content-Length: 500\r\n\r\n" : "\r\n";
-  } else if (Any<bool>(aRandom)) {
-    aText += "Content-Length: " + std::to_string(answer.body_.size()) + "\r\n\r\n" + answer.body_;
   } else {
-    aText += "Transfer-Encoding: chunked\r\n\r\n" + AnyChunks(aRandom, answer.body_);
+    AppendBody(aRandom, answer.body_, aText);
   }
   return answer;
 }
 
-/** Reads all answers of a text that arrives in parts of these sizes. */
-SeenAnswers
-ReadAnswers(std::string_view aText, const std::function<std::size_t()>& aNextSize)
+/** Appends a valid request, which is returned. */
+SeenMessage
+AppendAnyRequest(Random& aRandom, std::string& aText)
 {
-  SeenAnswers seen;
+  static const char* kStarts[] = { "GET /a", "HEAD /a?b=%20", "POST /a/b", "PUT *", "DELETE /" };
+  SeenMessage request{ kStarts[Below(aRandom, std::size(kStarts))], {} };
+  aText += request.start_ + (Any<bool>(aRandom) ? " HTTP/1.1\r\n" : " HTTP/1.0\r\n");
+  aText += Any<bool>(aRandom) ? "Expect: 100-continue\r\n" : "Host: a\r\n";
+  if (Any<bool>(aRandom)) {
+    request.body_ = AnyBytes(aRandom, 40);
+    AppendBody(aRandom, request.body_, aText);
+  } else {
+    aText += "Content-Length: 0\r\n\r\n";
+  }
+  return request;
+}
+
+SeenMessage
+Seen(HttpResponseMessage aAnswer)
+{
+  return { std::to_string(aAnswer.head_.Status()), std::move(aAnswer.body_) };
+}
+
+SeenMessage
+Seen(HttpRequestMessage aRequest)
+{
+  return { aRequest.head_.getMethod() + ' ' + aRequest.head_.getURI(), std::move(aRequest.body_) };
+}
+
+using NextSize = std::function<std::size_t()>;
+
+/** Reads all messages of a text that arrives in parts of these sizes. */
+template<typename Continue>
+SeenMessages
+ReadMessages(std::string_view aText, const NextSize& aNextSize, const Continue& aContinue)
+{
+  SeenMessages seen;
   std::string buffer;
-  ResponseProgress progress;
   while (!aText.empty() && !seen.isRefused_) {
     const std::size_t size = std::min(aNextSize(), aText.size());
     buffer += aText.substr(0, size);
     aText.remove_prefix(size);
-    auto read = ContinueHttpResponse(buffer, kBodyLimitBytes, progress);
+    auto read = aContinue(buffer);
     while (read && *read) {
-      seen.answers_.push_back({ (*read)->head_.Status(), (*read)->body_ });
-      read = ContinueHttpResponse(buffer, kBodyLimitBytes, progress);
+      seen.messages_.push_back(Seen(std::move(**read)));
+      read = aContinue(buffer);
     }
     seen.isRefused_ = !read;
   }
   return seen;
 }
 
+SeenMessages
+ReadAnswers(std::string_view aText, const NextSize& aNextSize)
+{
+  ResponseProgress progress;
+  return ReadMessages(aText, aNextSize, [&](std::string& aBuffer) {
+    return ContinueHttpResponse(aBuffer, kBodyLimitBytes, progress);
+  });
+}
+
+SeenMessages
+ReadRequests(std::string_view aText, const NextSize& aNextSize)
+{
+  RequestProgress progress;
+  return ReadMessages(aText, aNextSize, [&](std::string& aBuffer) {
+    return ContinueHttpRequest(aBuffer, kMaxHeaderBytes, kBodyLimitBytes, progress);
+  });
+}
+
+/** Reads a sequence of valid messages, then the same sequence with damage. Both must read the same
+ * whole, byte by byte and in any parts. Returns the damaged one. */
+template<auto kAppend, auto kRead>
+SeenMessages
+CheckSequence(Random& aRandom)
+{
+  std::string text;
+  SeenMessages sent;
+  for (std::size_t count = 1 + Below(aRandom, 4); count > 0; --count) {
+    sent.messages_.push_back(kAppend(aRandom, text));
+  }
+  const auto whole = [&] { return text.size(); };
+  const auto single = [] { return std::size_t{ 1 }; };
+  const auto any = [&] { return 1 + Below(aRandom, 30); };
+  RC_ASSERT(kRead(text, whole) == sent);
+  RC_ASSERT(kRead(text, single) == sent);
+  RC_ASSERT(kRead(text, any) == sent);
+
+  if (Any<bool>(aRandom)) {
+    text.insert(Below(aRandom, text.size()), AnyWord(aRandom));
+  } else {
+    Corrupt(aRandom, text);
+  }
+  const SeenMessages damaged = kRead(text, whole);
+  RC_ASSERT(kRead(text, single) == damaged);
+  RC_ASSERT(kRead(text, any) == damaged);
+  return damaged;
+}
+
 /** The backend server must decode exactly the request that the node parsed. */
 void
 CheckBackendRequest(const CallerRequest& aRequest)
@@ -252,34 +341,25 @@
 {
   cr_assert(rc::check("sequences of answers", [] {
     Random random(*rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()));
-    std::string text;
-    SeenAnswers sent;
-    for (std::size_t count = 1 + Below(random, 4); count > 0; --count) {
-      sent.answers_.push_back(AppendAnyAnswer(random, text));
-    }
-    const auto whole = [&] { return text.size(); };
-    const auto single = [] { return std::size_t{ 1 }; };
-    const auto any = [&] { return 1 + Below(random, 30); };
-    RC_ASSERT(ReadAnswers(text, whole) == sent);
-    RC_ASSERT(ReadAnswers(text, single) == sent);
-    RC_ASSERT(ReadAnswers(text, any) == sent);
-
-    // Damaged, or joined in another order.
-    if (Any<bool>(random)) {
-      text.insert(Below(random, text.size()), AnyWord(random));
-    } else {
-      Corrupt(random, text);
-    }
-    const SeenAnswers damaged = ReadAnswers(text, whole);
-    RC_ASSERT(ReadAnswers(text, single) == damaged);
-    RC_ASSERT(ReadAnswers(text, any) == damaged);
-    for (const SeenAnswer& answer : damaged.answers_) {
-      RC_ASSERT(answer.status_ >= 200U);
-      RC_ASSERT(answer.status_ <= 599U);
+    for (const SeenMessage& answer :
+         CheckSequence<AppendAnyAnswer, ReadAnswers>(random).messages_) {
+      RC_ASSERT(answer.start_.size() == 3U);
+      RC_ASSERT(answer.start_ >= "200");
+      RC_ASSERT(answer.start_ <= "599");
     }
   }));
 }
 
+/** Guards against requests sent ahead on one connection that mean something else when they arrive
+ * in other parts. */
+Test(http_fuzz, sequences_of_requests)
+{
+  cr_assert(rc::check("sequences of requests", [] {
+    Random random(*rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()));
+    (void)CheckSequence<AppendAnyRequest, ReadRequests>(random);
+  }));
+}
+
 // Compares tickets by value, since a corrupted text may be a valid spelling (upper-case digits).
 Test(http_fuzz, ticket_text)
 {
