Pass on the length of an answer to HEAD

A caller that asked with HEAD got status and header fields, but not the Content-Length that the backend server declared, which is what most HEAD requests are for.

Cause: Content-Length is set anew for each message and so never forwarded, and the answer to HEAD was formatted without one. Ruled out: a length that reaches an answer with a body, which FormatHttp() replaces (the test's second case).

--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -526,6 +526,9 @@
     client.Send((status == 200 ? "HEAD" : "GET") + std::string(" /a HTTP/1.1\r\n\r\n"));
     cr_assert(server.RunUntilRequests(1));
     HttpResponseHead head(status);
+    if (status != 200) {
+      head.set("Content-Length", "500");
+    }
     server.Record(server.server_.Reply(server.requests_[0].exchange_, head, "", server.now_));
     cr_assert(server.RunUntil([&] { return client.Has("\r\n\r\n"); }));
     cr_expect(client.Has("HTTP/1.1 " + std::to_string(status)));
@@ -533,6 +536,19 @@
   }
 }
 
+/** Guards against an answer to HEAD that hides the length of what GET would return. */
+Test(http_server, answer_to_head_names_the_length_of_the_backend_server)
+{
+  Server server;
+  LoopbackPeer client(server.address_);
+  client.Send("HEAD /a HTTP/1.1\r\n\r\n");
+  cr_assert(server.RunUntilRequests(1));
+  HttpResponseHead head(200);
+  head.set("Content-Length", "500");
+  server.Record(server.server_.Reply(server.requests_[0].exchange_, head, "", server.now_));
+  cr_assert(server.RunUntil([&] { return client.Has("Content-Length: 500\r\n"); }));
+}
+
 Test(http_server, connection_limit)
 {
   Server server(2);
--- a/packages/wire/HttpFraming.cpp
+++ b/packages/wire/HttpFraming.cpp
@@ -559,7 +559,9 @@
 std::string
 FormatHttpHead(HttpResponseHead& aHead)
 {
-  aHead.erase(Poco::Net::HTTPMessage::CONTENT_LENGTH);
+  if (IsBodilessStatus(aHead.Status())) {
+    aHead.erase(Poco::Net::HTTPMessage::CONTENT_LENGTH);
+  }
   return FormatMessage(aHead, {});
 }
 
--- a/packages/wire/HttpFraming.h
+++ b/packages/wire/HttpFraming.h
@@ -102,7 +102,8 @@
 std::string
 FormatHttp(HttpResponseHead& aHead, std::string_view aBody);
 
-/** The answer to a HEAD request: the head as bytes, without a length. */
+/** The answer to a HEAD request: the head as bytes, with the length that aHead has, if its status
+ * allows one. */
 std::string
 FormatHttpHead(HttpResponseHead& aHead);
 
