Decide about an announced body before it is sent

A caller that sends "Expect: 100-continue" was told to continue whenever its body was not too long, and then refused all the same where the route is unknown, the memory is used up, or every node of the service refuses its importance. Under overload it sent megabytes for a refusal that was known before.

Now HttpServer asks its owner: a head with an announced body is an exchange of its own (CallerBodyAnnounced), and the reducer answers with PermitBody or with the refusal, "not run", after which the connection is closed, since the body may come anyway. The admin and the heartbeat interface go on at once, as before. Ruled out: deciding in HttpServer (it knows neither routes nor levels), and judging calls of a backend server by the level of their route (they have the importance of the request that made them). While the decision is open, no further input of the connection is read, so the limit on input without a reply is not reached by a client that does not wait.

A request that is told to continue can still be refused when its body is there.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -160,7 +160,7 @@
     if (!connection.input_.empty() && !connection.requestStartedAt_) {
       connection.requestStartedAt_ = aNow;
     }
-    ContinueExpectedRequest(aId, connection);
+    AnnounceBody(aId, connection, aEvents);
     return;
   }
   connection.requestStartedAt_.reset();
@@ -169,26 +169,76 @@
     // An idle connection must not keep the memory of its largest request.
     connection.input_.shrink_to_fit();
   }
+  const ExchangeId exchange = OpenExchange(aId, connection, (*parsed)->head_);
+  aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**parsed) });
+}
+
+ExchangeId
+HttpServer::OpenExchange(std::uint64_t aId,
+                         Connection& aConnection,
+                         const Poco::Net::HTTPRequest& aHead)
+{
   const ExchangeId exchange{ nextId_++ };
-  connection.exchange_ = exchange;
-  connection.keepAlive_ = (*parsed)->head_.getKeepAlive();
-  connection.isHeadRequest_ = (*parsed)->head_.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+  aConnection.exchange_ = exchange;
+  aConnection.keepAlive_ = aHead.getKeepAlive();
+  aConnection.isHeadRequest_ = aHead.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
   exchanges_.emplace(exchange, aId);
-  aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**parsed) });
+  return exchange;
+}
+
+std::optional<std::uint64_t>
+HttpServer::CloseExchange(ExchangeId aExchange)
+{
+  const auto exchange = exchanges_.find(aExchange);
+  if (exchange == exchanges_.end()) {
+    return std::nullopt;
+  }
+  const std::uint64_t id = exchange->second;
+  exchanges_.erase(exchange);
+  connections_.at(id).exchange_.reset();
+  return id;
 }
 
 void
-HttpServer::ContinueExpectedRequest(std::uint64_t aId, Connection& aConnection)
+HttpServer::AnnounceBody(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents)
 {
   // The declared length was checked with the head.
   const auto& head = aConnection.progress_.head_;
   if (aConnection.isContinued_ || !head || !ExpectsContinue(*head)) {
     return;
   }
+  if (!settings_.asksBeforeBody_) {
+    Continue(aId, aConnection);
+    return;
+  }
+  aEvents.announced_.push_back({ OpenExchange(aId, aConnection, *head), aConnection.peer_, *head });
+}
+
+void
+HttpServer::Continue(std::uint64_t aId, Connection& aConnection)
+{
   aConnection.isContinued_ = true;
   Write(aId, aConnection, std::string(kContinue));
 }
 
+HttpServerEvents
+HttpServer::PermitBody(ExchangeId aExchange, Instant aNow)
+{
+  HttpServerEvents events;
+  const auto id = CloseExchange(aExchange);
+  if (!id) {
+    return events;
+  }
+  Continue(*id, connections_.at(*id));
+  if (Flush(*id, events)) {
+    // A client that does not wait may have sent the rest, for which no event comes.
+    ReadRequest(*id, aNow, events);
+    Flush(*id, events);
+  }
+  Recount(*id);
+  return events;
+}
+
 void
 HttpServer::Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid)
 {
@@ -216,25 +266,28 @@
                   Instant aNow)
 {
   HttpServerEvents events;
-  const auto exchange = exchanges_.find(aExchange);
-  if (exchange == exchanges_.end()) {
+  const auto exchange = CloseExchange(aExchange);
+  if (!exchange) {
     return events;
   }
-  const std::uint64_t id = exchange->second;
-  exchanges_.erase(exchange);
+  const std::uint64_t id = *exchange;
   Connection& connection = connections_.at(id);
-  connection.exchange_.reset();
   connection.lastUsedAt_ = aNow;
-  connection.closing_ = !connection.keepAlive_ || !accepting_ || closesAfterReply_;
+  // Only the head of a request with an announced body has been read.
+  const bool isIncomplete = connection.progress_.head_.has_value();
+  connection.closing_ = !connection.keepAlive_ || !accepting_ || closesAfterReply_ || isIncomplete;
   aHead.setKeepAlive(!connection.closing_);
-  // The length of an answer whose body was not sent here either is not known.
   std::string bytes =
     connection.isHeadRequest_ && aBody.empty() ? FormatHttpHead(aHead) : FormatHttp(aHead, aBody);
   if (connection.isHeadRequest_) {
     // The client would parse the body as the start of the next reply.
     bytes.resize(bytes.size() - aBody.size());
   }
-  Write(id, connection, std::move(bytes));
+  if (isIncomplete) {
+    CloseAfter(id, connection, std::move(bytes));
+  } else {
+    Write(id, connection, std::move(bytes));
+  }
   if (Flush(id, events) && !connection.input_.empty()) {
     connection.hasInputAhead_ = true;
     repliedWithInput_.push_back(id);
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -27,6 +27,9 @@
   std::size_t maxConnections_ = 2000;
   /** Upper bound of CallerLimits::maxBodyBytes_. */
   std::size_t maxBodyBytes_ = 4U << 20;
+  /** Whether the owner decides about announced bodies by PermitBody() or Reply(). Otherwise each is
+   * permitted at once. */
+  bool asksBeforeBody_ = false;
 };
 
 /** Upper bound of CallerLimits::maxHeaderBytes_: a request with headers of this size still fits
@@ -42,9 +45,19 @@
   HttpRequestMessage message_;
 };
 
+/** A request whose client waits for PermitBody() before it sends the body. */
+struct AnnouncedBody
+{
+  ExchangeId exchange_;
+  /** IP address of the client, without the port. */
+  std::string peer_;
+  Poco::Net::HTTPRequest head_;
+};
+
 /** Requests, disconnections and errors on one connection. */
 struct HttpServerEvents
 {
+  std::vector<AnnouncedBody> announced_;
   std::vector<ArrivedRequest> requests_;
   /** Exchanges whose client disconnected before the reply. */
   std::vector<ExchangeId> disconnected_;
@@ -65,9 +78,13 @@
 
   HttpServerEvents HandleReady(const ReadySocket& aReady, Instant aNow);
 
+  /** Tells the client to send its body; ignored if its connection was closed. The request arrives
+   * as another exchange. */
+  HttpServerEvents PermitBody(ExchangeId aExchange, Instant aNow);
+
   /** Replies to an exchange; ignored if its connection was closed. Does not read the connection's
    * next request: if the replies to requests that were sent ahead read each other, the stack would
-   * grow with the input. */
+   * grow with the input. A connection whose announced body is refused is closed. */
   HttpServerEvents Reply(ExchangeId aExchange,
                          HttpResponseHead& aHead,
                          std::string_view aBody,
@@ -140,8 +157,16 @@
 
   /** Parses the next request once the previous reply is completely written. */
   void ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
-  /** Tells a client that waits before it sends its body to go on. */
-  void ContinueExpectedRequest(std::uint64_t aId, Connection& aConnection);
+  /** Handles the incomplete request of a client that waits before it sends the body. */
+  void AnnounceBody(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents);
+  /** Tells the client to go on. */
+  void Continue(std::uint64_t aId, Connection& aConnection);
+  /** A new exchange of the request that is read from the connection. */
+  ExchangeId OpenExchange(std::uint64_t aId,
+                          Connection& aConnection,
+                          const Poco::Net::HTTPRequest& aHead);
+  /** Ends the exchange. Returns its connection; nullopt if that was closed. */
+  std::optional<std::uint64_t> CloseExchange(ExchangeId aExchange);
   void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
   void CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents);
   /** Updates the memory of the connection, if it is still open. */
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -88,7 +88,8 @@
                SocketRole::kCallerListener,
                SocketRole::kCallerConnection,
                aSettings.maxConnections_,
-               kMaxBodyBytes },
+               kMaxBodyBytes,
+               true },
              poller_)
   , admin_({ aSettings.adminListen_,
              SocketRole::kAdminListener,
@@ -333,23 +334,45 @@
   for (const ExchangeId exchange : aEvents.disconnected_) {
     queue_.push_back(CallerDisconnected{ exchange });
   }
+  for (const AnnouncedBody& announced : aEvents.announced_) {
+    const auto bytes = announced.head_.getContentLength64();
+    if (auto request =
+          ParseCallerRequest(announced.exchange_, announced.peer_, announced.head_, {})) {
+      queue_.push_back(CallerBodyAnnounced{ announced.exchange_,
+                                            std::move(*request),
+                                            bytes > 0 ? static_cast<std::size_t>(bytes) : 0 });
+    }
+  }
   for (ArrivedRequest& arrived : aEvents.requests_) {
-    auto request =
-      interface_.calls_.parseRequest_(arrived.message_.head_, std::move(arrived.message_.body_));
-    if (!request) {
-      ++counters_.invalidRequests_;
-      HttpResponseHead head = MakeResponseHead();
-      const std::string body = interface_.calls_.formatInvalid_(request.error(), head);
-      HandleCallerEvents(callers_.Reply(arrived.exchange_, head, body, now_));
-      continue;
+    if (auto request = ParseCallerRequest(arrived.exchange_,
+                                          arrived.peer_,
+                                          arrived.message_.head_,
+                                          std::move(arrived.message_.body_))) {
+      CountAccepted(RequestBytes(*request));
+      queue_.push_back(CallerRequestArrived{ arrived.exchange_, std::move(*request) });
     }
-    CountAccepted(RequestBytes(*request));
-    request->callerAddress_ = arrived.peer_;
-    request->fromBackend_ = arrived.peer_ == settings_.backend_.host().toString();
-    queue_.push_back(CallerRequestArrived{ arrived.exchange_, std::move(*request) });
   }
 }
 
+std::optional<CallerRequest>
+Node::ParseCallerRequest(ExchangeId aExchange,
+                         const std::string& aPeer,
+                         const Poco::Net::HTTPRequest& aHead,
+                         std::string aBody)
+{
+  auto request = interface_.calls_.parseRequest_(aHead, std::move(aBody));
+  if (!request) {
+    ++counters_.invalidRequests_;
+    HttpResponseHead head = MakeResponseHead();
+    const std::string body = interface_.calls_.formatInvalid_(request.error(), head);
+    HandleCallerEvents(callers_.Reply(aExchange, head, body, now_));
+    return std::nullopt;
+  }
+  request->callerAddress_ = aPeer;
+  request->fromBackend_ = aPeer == settings_.backend_.host().toString();
+  return std::move(*request);
+}
+
 void
 Node::HandleAdminEvents(HttpServerEvents aEvents)
 {
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -82,6 +82,11 @@
   /** Reads at most one request that was sent ahead of each connection. */
   void ReadRequestsSentAhead();
   void HandleCallerEvents(HttpServerEvents aEvents);
+  /** Replies to a request that is invalid. */
+  std::optional<CallerRequest> ParseCallerRequest(ExchangeId aExchange,
+                                                  const std::string& aPeer,
+                                                  const Poco::Net::HTTPRequest& aHead,
+                                                  std::string aBody);
   void HandleAdminEvents(HttpServerEvents aEvents);
   void SendAdminReply(ExchangeId aExchange, const AdminReply& aReply);
   void ReadGossip();
@@ -104,6 +109,7 @@
   LoopCounters CurrentCounters() const;
 
   void RunEffect(ReplyToCaller& aEffect);
+  void RunEffect(PermitBody& aEffect);
   void RunEffect(SendToPeer& aEffect);
   void RunEffect(SendToLink& aEffect);
   void RunEffect(SendGossip& aEffect);
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -39,6 +39,12 @@
   HandleCallerEvents(callers_.Reply(aEffect.exchange_, head, body, now_));
 }
 
+void
+Node::RunEffect(PermitBody& aEffect)
+{
+  HandleCallerEvents(callers_.PermitBody(aEffect.exchange_, now_));
+}
+
 void
 Node::RunEffect(SendToPeer& aEffect)
 {
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -20,12 +20,15 @@
 class Server
 {
 public:
-  explicit Server(std::size_t aMaxConnections = 10, std::size_t aMaxBody = kMaxBody)
+  explicit Server(std::size_t aMaxConnections = 10,
+                  std::size_t aMaxBody = kMaxBody,
+                  bool aAsksBeforeBody = false)
     : server_({ Poco::Net::SocketAddress("127.0.0.1:0"),
                 SocketRole::kCallerListener,
                 SocketRole::kCallerConnection,
                 aMaxConnections,
-                aMaxBody },
+                aMaxBody,
+                aAsksBeforeBody },
               poller_)
     , address_(server_.Address())
   {
@@ -88,6 +91,9 @@
     }
     disconnected_.insert(
       disconnected_.end(), aEvents.disconnected_.begin(), aEvents.disconnected_.end());
+    for (AnnouncedBody& announced : aEvents.announced_) {
+      announced_.push_back(std::move(announced));
+    }
     invalid_ += aEvents.invalid_;
   }
 
@@ -96,6 +102,7 @@
   Poco::Net::SocketAddress address_;
   Instant now_;
   std::vector<ArrivedRequest> requests_;
+  std::vector<AnnouncedBody> announced_;
   std::vector<ExchangeId> disconnected_;
   std::uint64_t invalid_ = 0;
 };
@@ -518,6 +525,41 @@
 }
 
 /** Guards against a length of 0 that is taken for the length that GET would give. */
+/** Guards against an announced body that is read although the request was refused, and against the
+ * rest of a body that came while the decision was open. */
+Test(http_server, owner_decides_about_an_announced_body)
+{
+  const std::string announcement =
+    "POST /a HTTP/1.1\r\nContent-Length: 900\r\nExpect: 100-continue\r\n\r\n";
+  for (const bool isPermitted : { true, false }) {
+    for (const bool waits : { true, false }) {
+      Server server(10, kMaxBody, true);
+      LoopbackPeer client(server.address_);
+      client.Send(announcement + (waits ? "" : std::string(899, 'a')));
+      cr_assert(server.RunUntil([&] { return server.announced_.size() == 1; }));
+      server.Settle();
+      cr_expect_eq(client.received_.size(), 0U);
+      const ExchangeId exchange = server.announced_[0].exchange_;
+      if (!isPermitted) {
+        HttpResponseHead head(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        server.Record(server.server_.Reply(exchange, head, "no", server.now_));
+        cr_assert(server.RunUntil([&] { return client.IsClosed(); }));
+        cr_expect(client.Has("503") && client.Has("Connection: Close") && !client.Has("100"));
+        cr_expect(server.requests_.empty());
+        continue;
+      }
+      server.Record(server.server_.PermitBody(exchange, server.now_));
+      cr_assert(server.RunUntil([&] { return client.Has("100 Continue\r\n\r\n"); }));
+      client.Send(waits ? std::string(900, 'a') : "a");
+      cr_assert(server.RunUntilRequests(1));
+      cr_expect_eq(server.requests_[0].message_.body_.size(), 900U);
+      server.Reply(0, "answer");
+      cr_assert(server.RunUntil([&] { return client.Has("answer"); }));
+      cr_expect_not(client.IsClosed());
+    }
+  }
+}
+
 Test(http_server, answers_without_a_body_name_no_length)
 {
   for (const int status : { 200, 204, 304 }) {
--- a/packages/policy/CallerRequests.cpp
+++ b/packages/policy/CallerRequests.cpp
@@ -58,7 +58,8 @@
 std::optional<Refusal>
 ValidateCallerRequest(const NodeState& aState,
                       const ReduceContext& aContext,
-                      const CallerRequest& aRequest)
+                      const CallerRequest& aRequest,
+                      std::size_t aBytes)
 {
   const Configuration& config = ConfigOf(aState);
   if (!config.services_.contains(aRequest.service_)) {
@@ -81,8 +82,7 @@
       return NotRun(Reason::kTooDeep);
     }
   }
-  if (aState.outbound_.calls_.size() >= kMaxOutboundCalls ||
-      !HasRoomFor(aContext, RequestBytes(aRequest))) {
+  if (aState.outbound_.calls_.size() >= kMaxOutboundCalls || !HasRoomFor(aContext, aBytes)) {
     return NotRun(Reason::kShedByQueue);
   }
   return std::nullopt;
--- a/packages/policy/CallerRequests.h
+++ b/packages/policy/CallerRequests.h
@@ -8,11 +8,13 @@
 
 namespace fulmarway {
 
-/** Validates a caller's request. Returns the refusal, or nullopt when a call may be made for it. */
+/** Validates a caller's request, for which the process needs aBytes. Returns the refusal, or
+ * nullopt when a call may be made for it. */
 std::optional<Refusal>
 ValidateCallerRequest(const NodeState& aState,
                       const ReduceContext& aContext,
-                      const CallerRequest& aRequest);
+                      const CallerRequest& aRequest,
+                      std::size_t aBytes);
 
 /** Answers GET /v1/ticket. */
 void
--- a/packages/policy/Effect.h
+++ b/packages/policy/Effect.h
@@ -26,6 +26,14 @@
   bool operator==(const ReplyToCaller&) const = default;
 };
 
+/** Permits a caller to send the body that it has announced. */
+struct PermitBody
+{
+  ExchangeId exchange_;
+
+  bool operator==(const PermitBody&) const = default;
+};
+
 /** Sends on the connection that this node opens to the peer. */
 struct SendToPeer
 {
@@ -157,6 +165,7 @@
 };
 
 using Effect = std::variant<ReplyToCaller,
+                            PermitBody,
                             SendToPeer,
                             SendToLink,
                             SendGossip,
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -31,6 +31,18 @@
   bool operator==(const CallerRequestArrived&) const = default;
 };
 
+/** A caller waits for the permission to send the body of its request. */
+struct CallerBodyAnnounced
+{
+  ExchangeId exchange_;
+  /** Without the body. */
+  CallerRequest request_;
+  /** Declared length; 0 if the caller does not declare one. */
+  std::size_t bodyBytes_ = 0;
+
+  bool operator==(const CallerBodyAnnounced&) const = default;
+};
+
 /** The caller closed its connection before it received a reply. */
 struct CallerDisconnected
 {
@@ -212,6 +224,7 @@
 inline constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
 using EventBody = std::variant<CallerRequestArrived,
+                               CallerBodyAnnounced,
                                CallerDisconnected,
                                LinkMessageArrived,
                                LinkClosed,
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -5,6 +5,7 @@
 #include "policy/Inbound.h"
 #include "policy/OutboundCalls.h"
 #include "policy/RequestLog.h"
+#include "policy/RequestMemory.h"
 #include "policy/RouteCandidates.h"
 #include "policy/RoutedCalls.h"
 
@@ -277,7 +278,8 @@
     HandleRoutedRequest(aState, aContext, aEvent);
     return;
   }
-  if (const auto refusal = ValidateCallerRequest(aState, aContext, request)) {
+  if (const auto refusal =
+        ValidateCallerRequest(aState, aContext, request, RequestBytes(request))) {
     RefuseRequest(aState, aContext, aEvent, *refusal);
     return;
   }
@@ -312,6 +314,20 @@
   }
 }
 
+void
+HandleBodyAnnounced(NodeState& aState, ReduceContext& aContext, const CallerBodyAnnounced& aEvent)
+{
+  const CallerRequest& request = aEvent.request_;
+  const std::size_t bytes = RequestBytes(request) + aEvent.bodyBytes_;
+  const auto refusal = request.routed_ ? RefusalOfRouted(aState, aContext, request, bytes)
+                                       : ValidateCallerRequest(aState, aContext, request, bytes);
+  if (refusal) {
+    RefuseRequest(aState, aContext, { aEvent.exchange_, request }, *refusal);
+    return;
+  }
+  aContext.effects_.push_back(PermitBody{ aEvent.exchange_ });
+}
+
 void
 HandleCallerDisconnected(NodeState& aState, ReduceContext& aContext, ExchangeId aExchange)
 {
--- a/packages/policy/Outbound.h
+++ b/packages/policy/Outbound.h
@@ -10,6 +10,11 @@
 void
 HandleCallerRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent);
 
+/** Permits the body, or refuses the request by what is known before it: validity, route, memory and
+ * admission levels. */
+void
+HandleBodyAnnounced(NodeState& aState, ReduceContext& aContext, const CallerBodyAnnounced& aEvent);
+
 void
 HandleCallerDisconnected(NodeState& aState, ReduceContext& aContext, ExchangeId aExchange);
 
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -116,6 +116,10 @@
   {
     HandleCallerRequest(state_, context_, aEvent);
   }
+  void operator()(const CallerBodyAnnounced& aEvent)
+  {
+    HandleBodyAnnounced(state_, context_, aEvent);
+  }
   void operator()(const CallerDisconnected& aEvent)
   {
     HandleCallerDisconnected(state_, context_, aEvent.exchange_);
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -3,6 +3,7 @@
 #include "policy/Lifecycle.h"
 #include "policy/OutboundCalls.h"
 #include "policy/RequestMemory.h"
+#include "policy/RouteCandidates.h"
 #include "policy/RouteTable.h"
 
 #include <algorithm>
@@ -28,18 +29,37 @@
 
 /** The reason to refuse any routed request at present; nullopt when they are accepted. */
 std::optional<Reason>
-NodeRefusalReason(const NodeState& aState,
-                  const ReduceContext& aContext,
-                  const CallerRequest& aRequest)
+NodeRefusalReason(const NodeState& aState, const ReduceContext& aContext, std::size_t aBytes)
 {
   if (ConfigOf(aState).version_ == 0) {
     return Reason::kNoConfiguration;
   }
-  const bool isFull = aState.outbound_.calls_.size() >= kMaxOutboundCalls ||
-                      !HasRoomFor(aContext, RequestBytes(aRequest));
+  const bool isFull =
+    aState.outbound_.calls_.size() >= kMaxOutboundCalls || !HasRoomFor(aContext, aBytes);
   return isFull ? std::optional(Reason::kShedByQueue) : std::nullopt;
 }
 
+/** Whether no node that may serve the request admits it at present. A call of a backend server
+ * takes the importance of its parent, so it is not judged by its route. */
+bool
+IsShedByLevel(NodeState& aState,
+              ReduceContext& aContext,
+              const CallerRequest& aRequest,
+              const RouteSpec& aRoute)
+{
+  const RouteQuery query{
+    aRoute.kind_.importance_,       RootRequestBucket(aRequest.rootRequestId_.value_or("")),
+    StableHash(aRoute.kind_.name_), {},
+    aContext.random_.Next(),        !aRoute.kind_.idempotent_
+  };
+  return !aRequest.fromBackend_ &&
+         std::all_of(aRoute.parts_.begin(), aRoute.parts_.end(), [&](const RoutePart& aPart) {
+           return ChooseTarget(
+                    aState.routing_, CandidatesFor(aState, aPart.service_), query, aContext.now_)
+                    .verdict_ == RouteVerdict::kShedByLevel;
+         });
+}
+
 Request
 MakeRequest(const NodeState& aState,
             ReduceContext& aContext,
@@ -123,7 +143,8 @@
 void
 HandleRoutedRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
 {
-  if (const auto reason = NodeRefusalReason(aState, aContext, aEvent.request_)) {
+  const std::size_t bytes = RequestBytes(aEvent.request_);
+  if (const auto reason = NodeRefusalReason(aState, aContext, bytes)) {
     RefuseRequest(aState, aContext, aEvent, NotRun(*reason));
     return;
   }
@@ -144,6 +165,28 @@
   TryTarget(aState, aContext, id);
 }
 
+std::optional<Refusal>
+RefusalOfRouted(NodeState& aState,
+                ReduceContext& aContext,
+                const CallerRequest& aRequest,
+                std::size_t aBytes)
+{
+  if (const auto reason = NodeRefusalReason(aState, aContext, aBytes)) {
+    return NotRun(*reason);
+  }
+  const RoutedPart& routed = *aRequest.routed_;
+  const RouteSpec* route = FindRoute(ConfigOf(aState), routed.host_, routed.uri_);
+  if (route == nullptr) {
+    return NotRun(Reason::kUnknownKind);
+  }
+  if (IsShedByLevel(aState, aContext, aRequest, *route)) {
+    return Refusal{ Verdict::kNotRun,
+                    Reason::kShedByLevel,
+                    aContext.random_.Jitter(RetryAfterHint(aState.admission_)) };
+  }
+  return std::nullopt;
+}
+
 std::optional<RequestId>
 FindLikelyParent(const InboundState& aInbound, std::string_view aCallId, Instant aDeadline)
 {
--- a/packages/policy/RoutedCalls.h
+++ b/packages/policy/RoutedCalls.h
@@ -6,6 +6,7 @@
 
 #include "policy/NodeState.h"
 
+#include <optional>
 #include <string_view>
 
 namespace fulmarway {
@@ -14,6 +15,14 @@
 void
 HandleRoutedRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent);
 
+/** The refusal of a routed request before its body arrives; nullopt when it may be sent. aBytes is
+ * the memory of the whole request. */
+std::optional<Refusal>
+RefusalOfRouted(NodeState& aState,
+                ReduceContext& aContext,
+                const CallerRequest& aRequest,
+                std::size_t aBytes);
+
 /** The request that probably made the call. Backend servers often derive the id of a call from the
  * id of its parent, a dot and a suffix. If no request has the parent id, the running request with
  * the nearest deadline within a tolerance is returned, since a call usually inherits the deadline
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -136,6 +136,52 @@
   cr_expect(simulation.ReplyTo(0, early)->outcome_.reason_ == Reason::kNoConfiguration);
 }
 
+/** Guards against a body that is sent in vain, since its request was to be refused all along. */
+Test(routed_calls, announced_body_is_refused_by_what_is_known_before_it)
+{
+  constexpr std::size_t kBodyBytes = std::size_t{ 1 } << 20;
+  RoutedSimulation simulation(2);
+  NodeState full = simulation.nodes_[0];
+  for (const NodeState& node : simulation.nodes_) {
+    full.routing_.targets_[node.settings_.identity_.id_].levels_[StableHash("safe")] = {
+      AdmissionLevel{ 0 }, AdmissionLevel{ 0 }, {}, simulation.now_
+    };
+  }
+  const struct
+  {
+    const char* name_;
+    const NodeState& node_;
+    const char* uri_;
+    std::size_t freeBytes_;
+    std::optional<Reason> refusal_;
+  } cases[] = {
+    { "accepted", simulation.nodes_[0], "/safe/1", 4 * kBodyBytes, std::nullopt },
+    { "no memory", simulation.nodes_[0], "/safe/1", 2 * kBodyBytes, Reason::kShedByQueue },
+    { "no route", simulation.nodes_[0], "/other/1", 4 * kBodyBytes, Reason::kUnknownKind },
+    { "overload", full, "/safe/1", 4 * kBodyBytes, Reason::kShedByLevel },
+    { "overload of another kind", full, "/unsafe/1", 4 * kBodyBytes, std::nullopt },
+  };
+  for (const auto& row : cases) {
+    CallerBodyAnnounced announced{ ExchangeId{ 1 }, {}, kBodyBytes };
+    announced.request_.routed_ = RoutedPart{ "host", row.uri_, {}, "", "id-1" };
+    Event event{ simulation.now_, 1, 0, announced };
+    event.freeBytes_ = row.freeBytes_;
+    const auto step = Reduce(row.node_, event);
+    bool isPermitted = false;
+    std::optional<Reason> refusal;
+    for (const Effect& effect : step.result_) {
+      isPermitted = isPermitted || std::holds_alternative<PermitBody>(effect);
+      if (const auto* reply = std::get_if<ReplyToCaller>(&effect)) {
+        refusal = reply->reply_.outcome_.reason_;
+        cr_expect(reply->reply_.outcome_.verdict_ == Verdict::kNotRun, "%s", row.name_);
+      }
+    }
+    cr_expect(refusal == row.refusal_, "%s", row.name_);
+    cr_expect_eq(isPermitted, !row.refusal_, "%s", row.name_);
+    cr_expect(step.state_.outbound_.calls_.empty(), "%s", row.name_);
+  }
+}
+
 Test(routed_calls, outcome_arrives_by_the_deadline_of_the_route)
 {
   for (const std::string uri : { "/safe/1", "/unsafe/1" }) {
--- a/packages/policy/tests/Session.h
+++ b/packages/policy/tests/Session.h
@@ -155,6 +155,7 @@
   void Perform(NodeIndex, const CloseIdleBackendConnections&) {}
   void Perform(NodeIndex, const AcknowledgeNotice&) {}
   void Perform(NodeIndex, const CallStore&) {}
+  void Perform(NodeIndex, const PermitBody&) {}
   void Perform(NodeIndex, const SetCallerLimits&) {}
   void Perform(NodeIndex, const CloseAfterReplies&) {}
   void Perform(NodeIndex aNode, const StopAccepting& aEffect);
