Mend what the linter finds in the changes to statuses

fulmarctl's reading loop used its buffer after a move, in an iteration that cannot follow; tests compared the status with signed numbers; one using declaration was left. Found by scripts/lint on the changed files, which passes now; test_ctl, http_mapping and platform_calls pass.

--- a/packages/ctl/HttpTransport.cpp
+++ b/packages/ctl/HttpTransport.cpp
@@ -34,12 +34,26 @@
   return aError.message().empty() ? aError.name() : aError.message();
 }
 
-tl::unexpected<TransportError>
+using ReplyResult = tl::expected<HttpReply, TransportError>;
+
+ReplyResult
+MakeReply(HttpResponseMessage aAnswer)
+{
+  return HttpReply{ static_cast<int>(aAnswer.head_.Status()), std::move(aAnswer.body_) };
+}
+
+ReplyResult
 MakeNoReply(std::string aMessage)
 {
   return tl::unexpected(TransportError{ TransportErrorCode::kNoReply, std::move(aMessage) });
 }
 
+std::string
+Describe(const UserError& aError)
+{
+  return aError.subject_ + ": " + aError.message_;
+}
+
 void
 SendAll(Poco::Net::StreamSocket& aSocket, std::string_view aBytes, Clock::time_point aDeadline)
 {
@@ -52,7 +66,7 @@
 
 /** Reads the final answer. Checks the deadline before each part, so that a node that sends slowly
  * cannot extend it. */
-tl::expected<HttpReply, TransportError>
+ReplyResult
 ReceiveReply(Poco::Net::StreamSocket& aSocket, Clock::time_point aDeadline)
 {
   std::string buffer;
@@ -61,18 +75,17 @@
   while (Clock::now() < aDeadline) {
     aSocket.setReceiveTimeout(RemainingTime(aDeadline));
     const int count = aSocket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
-    tl::expected<std::optional<HttpResponseMessage>, UserError> answer;
-    if (count > 0) {
-      buffer.append(chunk.data(), static_cast<std::size_t>(count));
-      answer = ContinueHttpResponse(buffer, kMaxControlJsonBytes, progress);
-    } else {
-      answer = ParseCloseDelimitedResponse(std::move(buffer), kMaxControlJsonBytes);
+    if (count <= 0) {
+      auto answer = ParseCloseDelimitedResponse(std::move(buffer), kMaxControlJsonBytes);
+      return answer ? MakeReply(std::move(*answer)) : MakeNoReply(Describe(answer.error()));
     }
+    buffer.append(chunk.data(), static_cast<std::size_t>(count));
+    auto answer = ContinueHttpResponse(buffer, kMaxControlJsonBytes, progress);
     if (!answer) {
-      return MakeNoReply(answer.error().subject_ + ": " + answer.error().message_);
+      return MakeNoReply(Describe(answer.error()));
     }
     if (*answer) {
-      return HttpReply{ static_cast<int>((*answer)->head_.Status()), std::move((*answer)->body_) };
+      return MakeReply(std::move(**answer));
     }
   }
   return MakeNoReply("the reply did not arrive completely within the timeout");
--- a/packages/wire/tests/HttpMappingTest.cpp
+++ b/packages/wire/tests/HttpMappingTest.cpp
@@ -12,7 +12,6 @@
 
 using namespace fulmarway;
 using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
 
 namespace {
 
@@ -62,12 +61,12 @@
 }
 
 void
-CheckReply(Verdict aVerdict, Reason aReason, int aStatus)
+CheckReply(Verdict aVerdict, Reason aReason, unsigned aStatus)
 {
   const std::string reason(ToString(aReason));
   CallerReply reply{ { aVerdict, aReason, std::chrono::milliseconds(1001) }, {}, "c-1", Ticket{} };
   HttpResponseHead head = Reply(reply);
-  cr_assert_eq(head.Status(), aStatus, "%s: %d", reason.c_str(), head.Status());
+  cr_assert_eq(head.Status(), aStatus, "%s: %u", reason.c_str(), head.Status());
   cr_assert(ParseVerdict(head.get(header::kVerdict)) == aVerdict);
   cr_assert_eq(head.get(header::kReason), reason);
   cr_assert_eq(head.get(header::kRootRequestId), "c-1");
@@ -118,7 +117,7 @@
     { Verdict::kRan, Reason::kNone, {} }, Answer{ 418, "a/b", "x" }, "", {}
   };
   cr_assert_eq(FormatCallerReply(reply, head), "x");
-  cr_assert_eq(head.Status(), 418);
+  cr_assert_eq(head.Status(), 418U);
   cr_assert_eq(head.getContentType(), "a/b");
   cr_assert_eq(head.get(header::kVerdict), "ran");
   cr_assert_not(head.has(header::kReason));
