Keep a leave without a start time through a late heartbeat

What callers would have seen: requests sent to a backend server that had left, up to its exit.

Cause: a deregistration need not say when its backend server started. A process that has just started knows no heartbeat, so the leave was that of an incarnation with the start 0, and a heartbeat that came late counted as one of a later incarnation: in the log, backend_leaves, 2.4 s later backend_run with the old start time, node_state alive. Now the leave takes its start time from the first heartbeat of the same id whose incarnation was running when the notice came; it is recorded with that. An incarnation that started after the notice is used. Ruled out: the lost departure of an earlier process (the process that acknowledged is the one that sent the requests), and the grace time (the node was serving again, not draining). Same class, looked for: a departure without a start time that only the record of this node still has, so a second restart before any heartbeat; not mended, see docs/incidents.

Before: routed_calls::leave_without_a_start_time_outlasts_a_late_heartbeat fails. After: routed_calls 19 passed.

--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -165,6 +165,25 @@
     std::min(aState.lifecycle_.drainStartedAt_, aContext.now_ - aState.settings_.drainGrace_);
 }
 
+/** Takes the start time of a leave that came without one from the heartbeat, if its incarnation was
+ * running when the notice came. Otherwise a late heartbeat would count as one of a later
+ * incarnation. Both times are of the VM that the node shares with its backend server. */
+void
+AttributeLeave(NodeState& aState, const ReduceContext& aContext, const BackendHeartbeat& aHeartbeat)
+{
+  auto& current = aState.backend_;
+  if (!current || !current->hasLeft_ || current->heartbeat_.startedAtMs_ != 0 ||
+      current->heartbeat_.instance_ != aHeartbeat.instance_) {
+    return;
+  }
+  const auto sinceNotice = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aContext.now_ - current->firstHeartbeatAt_);
+  if (aHeartbeat.startedAtMs_ + static_cast<std::uint64_t>(sinceNotice.count()) <=
+      aContext.wallTimeMs_) {
+    current->heartbeat_.startedAtMs_ = aHeartbeat.startedAtMs_;
+  }
+}
+
 /** Sends the acknowledgements whose departure is in the store, or that waited for too long. */
 void
 AdvanceAcknowledgements(NodeState& aState, ReduceContext& aContext)
@@ -332,6 +351,7 @@
     return;
   }
   const auto departureBefore = DepartureOf(aState.backend_);
+  AttributeLeave(aState, aContext, aHeartbeat);
   const HeartbeatVerdict verdict =
     Apply(aState.backend_, ApplyHeartbeat(std::move(aState.backend_), aHeartbeat, aContext.now_));
   if (verdict == HeartbeatVerdict::kOutdated) {
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -210,6 +210,34 @@
   cr_expect(cancelled.front().request_ == request.id_);
 }
 
+/** Guards against a late heartbeat that undoes a leave: a process that has just started knows no
+ * heartbeat yet, and a notice need not say when its backend server started. A later incarnation is
+ * used. */
+Test(routed_calls, leave_without_a_start_time_outlasts_a_late_heartbeat)
+{
+  constexpr std::uint64_t kNoticeMs = 50'000;
+  for (const bool isLater : { false, true }) {
+    RoutedSimulation simulation(1);
+    NodeState& node = simulation.nodes_[0];
+    node.backend_.reset();
+    const auto inject = [&](EventBody aBody, std::uint64_t aWallTimeMs) {
+      node =
+        Reduce(std::move(node), Event{ simulation.now_, 1, aWallTimeMs, std::move(aBody) }).state_;
+    };
+    inject(BackendLeft{ { "i-1", 0 } }, kNoticeMs);
+    simulation.sendsHeartbeats_ = false;
+    simulation.Run(std::chrono::seconds(2));
+    BackendHeartbeat heartbeat = MakeRoutedHeartbeat(9);
+    heartbeat.startedAtMs_ = isLater ? kNoticeMs + 1 : kNoticeMs;
+    for (int i = 0; i < 2; ++i) {
+      heartbeat.sequence_ += 1;
+      inject(BackendHeartbeatReceived{ heartbeat }, kNoticeMs + 2000);
+      simulation.SendRequest(0, "/safe/1");
+    }
+    cr_expect_eq(simulation.BackendRequests().empty(), !isLater);
+  }
+}
+
 /** Guards against requests that reach a backend server after the grace period of its drain. */
 Test(routed_calls, leaving_backend_server_gets_nothing_after_the_grace)
 {
