Select the route of a request in one place

HandleRoutedRequest() and RefusalOfRouted() wrote the same checks: configuration, calls, memory, route. Both now call SelectRoute(). A comment in AttributeLeave() says which time firstHeartbeatAt_ is there.

--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -176,6 +176,7 @@
       current->heartbeat_.instance_ != aHeartbeat.instance_) {
     return;
   }
+  // The time of the notice, unless heartbeats without a start time came before it.
   const auto sinceNotice = std::chrono::duration_cast<std::chrono::milliseconds>(
     aContext.now_ - current->firstHeartbeatAt_);
   if (aHeartbeat.startedAtMs_ + static_cast<std::uint64_t>(sinceNotice.count()) <=
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -7,6 +7,7 @@
 #include "policy/RouteTable.h"
 
 #include <algorithm>
+#include <tl/expected.hpp>
 
 namespace fulmarway {
 
@@ -39,6 +40,24 @@
   return isFull ? std::optional(Reason::kShedByQueue) : std::nullopt;
 }
 
+/** The route of the request, or the refusal of what this node can't take. */
+tl::expected<const RouteSpec*, Refusal>
+SelectRoute(const NodeState& aState,
+            const ReduceContext& aContext,
+            const CallerRequest& aRequest,
+            std::size_t aBytes)
+{
+  if (const auto reason = NodeRefusalReason(aState, aContext, aBytes)) {
+    return tl::unexpected(NotRun(*reason));
+  }
+  const RoutedPart& routed = *aRequest.routed_;
+  const RouteSpec* route = FindRoute(ConfigOf(aState), routed.host_, routed.uri_);
+  if (route == nullptr) {
+    return tl::unexpected(NotRun(Reason::kUnknownKind));
+  }
+  return route;
+}
+
 /** Whether no node that may serve the request admits it at present. A call of a backend server
  * takes the importance of its parent, so it is not judged by its route. */
 bool
@@ -143,22 +162,18 @@
 void
 HandleRoutedRequest(NodeState& aState, ReduceContext& aContext, const CallerRequestArrived& aEvent)
 {
-  const std::size_t bytes = RequestBytes(aEvent.request_);
-  if (const auto reason = NodeRefusalReason(aState, aContext, bytes)) {
-    RefuseRequest(aState, aContext, aEvent, NotRun(*reason));
-    return;
-  }
-  const RoutedPart& routed = *aEvent.request_.routed_;
-  const RouteSpec* route = FindRoute(ConfigOf(aState), routed.host_, routed.uri_);
-  if (route == nullptr) {
-    RefuseRequest(aState, aContext, aEvent, NotRun(Reason::kUnknownKind));
+  const auto selected =
+    SelectRoute(aState, aContext, aEvent.request_, RequestBytes(aEvent.request_));
+  if (!selected) {
+    RefuseRequest(aState, aContext, aEvent, selected.error());
     return;
   }
+  const RouteSpec& route = **selected;
   const std::string service =
     Apply(aState.outbound_.splits_,
-          ChoosePart(std::move(aState.outbound_.splits_), *route, aContext.random_.Next()));
+          ChoosePart(std::move(aState.outbound_.splits_), route, aContext.random_.Next()));
   const CallId id{ aState.outbound_.nextId_++ };
-  OutboundCall call = MakeCall(aState, aContext, id, aEvent, *route, service);
+  OutboundCall call = MakeCall(aState, aContext, id, aEvent, route, service);
   aState.outbound_.byExchange_.emplace(call.exchange_, id);
   aState.outbound_.calls_.emplace(id, std::move(call));
   aState.counters_.Add(CounterId::kCallsStarted);
@@ -171,15 +186,11 @@
                 const CallerRequest& aRequest,
                 std::size_t aBytes)
 {
-  if (const auto reason = NodeRefusalReason(aState, aContext, aBytes)) {
-    return NotRun(*reason);
-  }
-  const RoutedPart& routed = *aRequest.routed_;
-  const RouteSpec* route = FindRoute(ConfigOf(aState), routed.host_, routed.uri_);
-  if (route == nullptr) {
-    return NotRun(Reason::kUnknownKind);
+  const auto route = SelectRoute(aState, aContext, aRequest, aBytes);
+  if (!route) {
+    return route.error();
   }
-  if (IsShedByLevel(aState, aContext, aRequest, *route)) {
+  if (IsShedByLevel(aState, aContext, aRequest, **route)) {
     return Refusal{ Verdict::kNotRun,
                     Reason::kShedByLevel,
                     aContext.random_.Jitter(RetryAfterHint(aState.admission_)) };
