Decode client accounts, their bounds, and move JSON access to wire/

Cause: deployments with client accounts list them in the configuration, with keys, importance and quota, and state how fast a removed key must be refused and how far a quota may be exceeded. The product knew none of it.

Change: AccountSpec, RouteSpec::public_, RoutedPart::account_ and four reasons of refusal, with their serialization, statuses and decoding; bounds of key removal and quota in the settings; JSON access is packages/wire/JsonObject. Nothing uses the accounts yet.

--- a/packages/model/Call.h
+++ b/packages/model/Call.h
@@ -43,6 +43,8 @@
   std::string originService_;
   /** Id of this caller attempt; `headers_` contains it too. */
   std::string requestId_;
+  /** Client account of the request; empty when it has none. */
+  std::string account_;
 
   bool operator==(const RoutedPart&) const = default;
 };
--- a/packages/model/CallerRequest.h
+++ b/packages/model/CallerRequest.h
@@ -41,6 +41,8 @@
   bool ticketOnly_ = false;
   /** Set for a request whose route is selected by host and path; service and kind are empty. */
   std::optional<RoutedPart> routed_;
+  /** Key of a client account as the caller sent it; nullopt without one. */
+  std::optional<std::string> key_;
   /** Sent by the local backend server. */
   bool fromBackend_ = false;
 
--- a/packages/model/Config.h
+++ b/packages/model/Config.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -73,10 +74,28 @@
   Duration targetLatency_ = std::chrono::seconds(1);
   /** At least one. */
   std::vector<RoutePart> parts_;
+  /** Whether requests need no key of a client account. */
+  bool public_ = false;
 
   auto operator<=>(const RouteSpec&) const = default;
 };
 
+/** A client account: the party that callers' requests belong to. */
+struct AccountSpec
+{
+  std::string name_;
+  /** Each key identifies the account. Secret; never logged or forwarded. */
+  std::vector<std::string> keys_;
+  /** Takes precedence over the importance of the route; nullopt for none. */
+  std::optional<Importance> importance_;
+  /** Quota over all nodes together: requests per second, and requests beyond that rate; a rate of 0
+   * means no limit. */
+  double ratePerSecond_ = 0;
+  double burst_ = 0;
+
+  auto operator<=>(const AccountSpec&) const = default;
+};
+
 /** Size and time limits of caller connections. The defaults apply until an operator sets others. */
 struct CallerLimits
 {
@@ -102,6 +121,9 @@
   /** Ordered by host, then prefix. */
   std::vector<RouteSpec> routes_;
   CallerLimits callerLimits_;
+  /** nullopt when requests belong to no account and need no key. With an empty list, no request on
+   * a route that is not public is accepted. */
+  std::optional<std::vector<AccountSpec>> accounts_;
 
   auto operator<=>(const Configuration&) const = default;
 };
--- a/packages/model/Verdict.cpp
+++ b/packages/model/Verdict.cpp
@@ -34,6 +34,10 @@
   "no-configuration",
   "refused-by-backend-server",
   "answer-not-kept",
+  "unknown-key",
+  "no-key-lease",
+  "over-quota",
+  "quota-unavailable",
 };
 
 } // namespace
--- a/packages/model/Verdict.h
+++ b/packages/model/Verdict.h
@@ -56,9 +56,17 @@
   /** The backend server reported that it did not execute the request. */
   kRefusedByBackend,
   kAnswerNotKept,
+  /** No client account has the key, or the request has none. */
+  kUnknownKey,
+  /** The node cannot prove that its configuration is recent enough to accept keys. */
+  kNoKeyLease,
+  kOverQuota,
+  /** No node could tell whether the account has quota left. */
+  kQuotaUnavailable,
 };
 
-inline constexpr std::uint8_t kReasonCount = static_cast<std::uint8_t>(Reason::kAnswerNotKept) + 1;
+inline constexpr std::uint8_t kReasonCount =
+  static_cast<std::uint8_t>(Reason::kQuotaUnavailable) + 1;
 
 /** A refusal or failure, sent between nodes and to the caller. */
 struct Refusal
--- a/packages/policy/DeploymentBounds.cpp
+++ b/packages/policy/DeploymentBounds.cpp
@@ -45,6 +45,10 @@
   if (aBounds.retryWindow_) {
     aSettings.backendRetries_.window_ = *aBounds.retryWindow_;
   }
+  if (aBounds.strictKeyRemoval_) {
+    aSettings.keyRemovalBound_ = aBounds.keyRemoval_;
+  }
+  aSettings.quota_ = aBounds.quota_;
   return aSettings;
 }
 
--- a/packages/policy/DeploymentBounds.h
+++ b/packages/policy/DeploymentBounds.h
@@ -19,6 +19,10 @@
    * window of retryWindow_. */
   std::optional<double> retryShare_;
   std::optional<Duration> retryWindow_;
+  /** Whether a removed key must not be accepted by any node after keyRemoval_, and this time. */
+  bool strictKeyRemoval_ = false;
+  std::optional<Duration> keyRemoval_;
+  QuotaBounds quota_;
 
   bool operator==(const DeploymentBounds&) const = default;
 };
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -32,6 +32,17 @@
 
 namespace fulmarway {
 
+/** How far the requests of a client account may exceed its quota in any window of this length: by
+ * a share of the quota, and by a number of requests. */
+struct QuotaBounds
+{
+  Duration window_ = std::chrono::seconds(5);
+  double over_ = 0.1;
+  double slack_ = 20;
+
+  bool operator==(const QuotaBounds&) const = default;
+};
+
 /** Settings from the command line and the environment; constant for the lifetime of the process. */
 struct NodeSettings
 {
@@ -57,6 +68,10 @@
   /** Reads the configuration and the announcements of nodes from a store instead of the log
    * service, and the state of the backend server from its heartbeats instead of health checks. */
   bool usesStore_ = false;
+  /** Longest time for which a removed key of a client account may still be accepted; nullopt where
+   * a node that is cut off may accept it for longer. */
+  std::optional<Duration> keyRemovalBound_;
+  QuotaBounds quota_;
   /** Whether requests need tickets; false where callers address backend servers by routes. */
   bool usesTickets_ = true;
 
--- a/packages/wire/HttpMapping.cpp
+++ b/packages/wire/HttpMapping.cpp
@@ -164,6 +164,8 @@
     case Reason::kInvalidRequest:
     case Reason::kTicketInvalid:
       return 400;
+    case Reason::kUnknownKey:
+      return 401;
     case Reason::kUnknownService:
     case Reason::kUnknownKind:
       return 404;
@@ -174,6 +176,7 @@
     case Reason::kTicketNeeded:
       return 428;
     case Reason::kRepeatLimit:
+    case Reason::kOverQuota:
       return 429;
     case Reason::kDeadline:
       return 504;
--- a/platform/Json.cpp
+++ b/packages/wire/JsonObject.cpp
@@ -1,9 +1,9 @@
-#include "platform/Json.h"
+#include "wire/JsonObject.h"
 
 #include <Poco/JSON/Parser.h>
 #include <cmath>
 
-namespace fulmarway::platform {
+namespace fulmarway {
 
 namespace {
 
@@ -15,7 +15,7 @@
   throw JsonError{ { aName, std::string("expected ") + aExpected } };
 }
 
-/** The platform's messages nest at most 6 levels deep. */
+/** Messages in use nest at most 6 levels deep. */
 constexpr int kMaxNestingDepth = 16;
 
 } // namespace
@@ -122,4 +122,4 @@
   return value.convert<bool>();
 }
 
-} // namespace fulmarway::platform
+} // namespace fulmarway
--- a/platform/Json.h
+++ b/packages/wire/JsonObject.h
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
-namespace fulmarway::platform {
+namespace fulmarway {
 
 using JsonObject = Poco::JSON::Object::Ptr;
 using JsonArray = Poco::JSON::Array::Ptr;
@@ -72,4 +72,4 @@
   }
 }
 
-} // namespace fulmarway::platform
+} // namespace fulmarway
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -107,7 +107,12 @@
 void
 serialize(Archive& aArchive, RoutedPart& aValue)
 {
-  aArchive(aValue.host_, aValue.uri_, aValue.headers_, aValue.originService_, aValue.requestId_);
+  aArchive(aValue.host_,
+           aValue.uri_,
+           aValue.headers_,
+           aValue.originService_,
+           aValue.requestId_,
+           aValue.account_);
 }
 
 template<class Archive>
@@ -221,7 +226,27 @@
 void
 serialize(Archive& aArchive, RouteSpec& aValue)
 {
-  aArchive(aValue.host_, aValue.prefix_, aValue.kind_, aValue.targetLatency_, aValue.parts_);
+  aArchive(aValue.host_,
+           aValue.prefix_,
+           aValue.kind_,
+           aValue.targetLatency_,
+           aValue.parts_,
+           aValue.public_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, AccountSpec& aValue)
+{
+  bool hasImportance = aValue.importance_.has_value();
+  Importance importance = aValue.importance_.value_or(Importance::kNormal);
+  aArchive(aValue.name_,
+           aValue.keys_,
+           hasImportance,
+           wire_detail::Checked<Importance::kLow>(importance),
+           aValue.ratePerSecond_,
+           aValue.burst_);
+  aValue.importance_ = hasImportance ? std::optional(importance) : std::nullopt;
 }
 
 template<class Archive>
@@ -236,8 +261,12 @@
 void
 serialize(Archive& aArchive, Configuration& aValue)
 {
-  aArchive(
-    aValue.version_, aValue.services_, aValue.drained_, aValue.routes_, aValue.callerLimits_);
+  aArchive(aValue.version_,
+           aValue.services_,
+           aValue.drained_,
+           aValue.routes_,
+           aValue.callerLimits_,
+           aValue.accounts_);
 }
 
 template<class Archive>
