Admit callers' requests by the keys of client accounts, under a lease

Cause: deployments with client accounts give each one keys; a removed key must be refused in time by every node, also by one that is cut off. The configuration was decoded but not used.

Change: the adapter reads the bearer key and sets aside the fields that name an account; the entry node finds the account (AccountOf() in policy/RoutedCalls), sets RoutedPart::account_ and drops these fields where the configuration has accounts. 401 for an unknown key, 503 without a key lease, which reads of the store renew (policy/KeyLease, policy/StoreSync). The importance of the account precedes that of the route. The time-out of a store call is part of the effect, since it depends on the lease.

--- a/packages/model/CallerRequest.h
+++ b/packages/model/CallerRequest.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fulmarway {
 
@@ -43,6 +44,9 @@
   std::optional<RoutedPart> routed_;
   /** Key of a client account as the caller sent it; nullopt without one. */
   std::optional<std::string> key_;
+  /** Header fields that name a client account or its key, taken out of the forwarded ones. They are
+   * forwarded only where the configuration has no accounts. */
+  std::vector<HeaderField> accountFields_;
   /** Sent by the local backend server. */
   bool fromBackend_ = false;
 
--- a/packages/model/Store.h
+++ b/packages/model/Store.h
@@ -76,6 +76,15 @@
 std::string_view
 ToString(StoreTask aTask);
 
+/** What a reply says of the newest record of the configuration. */
+enum class NewestRecord : std::uint8_t
+{
+  /** The reply has no record of the configuration. */
+  kNotIncluded,
+  kDecoded,
+  kUndecodable,
+};
+
 /** Reply to ReadConfiguration and AwaitConfiguration. */
 struct ConfigurationRead
 {
@@ -88,6 +97,9 @@
   std::uint32_t undecodable_ = 0;
   /** The request for the next page, when this one lacks the configuration and there are more. */
   std::optional<ReadConfiguration> continue_;
+  NewestRecord newest_ = NewestRecord::kNotIncluded;
+  /** Whether the store has nothing newer than what the reply contains and what was read before. */
+  bool reachesEnd_ = false;
 
   bool operator==(const ConfigurationRead&) const = default;
 };
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -62,6 +62,8 @@
       return "Appends that the log service refused or whose outcome is unknown";
     case CounterId::kConfigFetches:
       return "Requests to a peer for a newer configuration";
+    case CounterId::kKeyLeasesLost:
+      return "Times that the node had to stop accepting keys of client accounts";
   }
   return "";
 }
@@ -172,6 +174,11 @@
   add("store_era",
       "Times that the store has returned from an older copy, as it counts them",
       aState.store_.era_.value_or(0));
+  const bool isLeaseHeld = aState.keyLease_.held_ || !RequiresKeyLease(aState);
+  add("key_lease_held", "Whether the node may accept keys of client accounts", isLeaseHeld);
+  add("key_lease_since_seconds",
+      "Unix time since which the node has held its key lease without a gap; 0 without a lease",
+      aState.keyLease_.held_ ? static_cast<double>(aState.keyLease_.sinceMs_) / 1000 : 0);
   add("caller_connections", "Open connections of callers", aLoop.callerConnections_);
 }
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -141,6 +141,9 @@
       LimitHeldBytes();
     }
     ReadRequestsSentAhead();
+    // A process that was stopped since the last reading may have read requests that were sent
+    // meanwhile, and must not decide on them as of a time before the stop.
+    now_ = clock_.now_();
     ProcessSignals(aSignals);
     if (now_ >= nextTickAt) {
       nextTickAt = now_ + kTickInterval;
--- a/packages/node/NodeEffects.cpp
+++ b/packages/node/NodeEffects.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr Duration kLogTimeout = std::chrono::seconds(2);
-/** Added to the wait that the call itself requests. */
-constexpr Duration kStoreTimeout = std::chrono::seconds(1);
 /** Backstop for connection leaks; the reducer cancels requests at their deadline. */
 constexpr Duration kBackendTimeout = std::chrono::minutes(15);
 
@@ -114,12 +112,8 @@
     interface_.store_->formatCall_(settings_.node_.clusterKey_, aEffect.request_);
   Poco::Net::HTTPRequest head(call.method_, call.uri_, Poco::Net::HTTPMessage::HTTP_1_1);
   counters_.controlBytesSent_ += call.uri_.size() + call.body_.size();
-  Duration timeout = kStoreTimeout;
-  if (const auto* await = std::get_if<AwaitConfiguration>(&aEffect.request_)) {
-    timeout += await->wait_;
-  }
   storeCallsInFlight_.insert_or_assign(task, std::move(aEffect.request_));
-  store_->Send(static_cast<std::uint64_t>(task), head, call.body_, now_, now_ + timeout);
+  store_->Send(static_cast<std::uint64_t>(task), head, call.body_, now_, now_ + aEffect.timeout_);
 }
 
 void
--- a/packages/policy/Control.cpp
+++ b/packages/policy/Control.cpp
@@ -19,6 +19,26 @@
 constexpr int kSnapshotsPerRetention = 4;
 constexpr int kMaxSnapshotRank = 5;
 
+/** Indexes the keys of the accounts. The seed is drawn only where there are accounts, so that other
+ * deployments draw the same random numbers as without this feature. */
+void
+IndexAccountKeys(NodeState& aState, ReduceContext& aContext)
+{
+  const auto& accounts = ConfigOf(aState).accounts_;
+  aState.accountKeys_ =
+    accounts ? MakeAccountKeys(*accounts, aContext.random_.Next()) : AccountKeys{};
+  for (const std::size_t account : aState.accountKeys_.accountsWithTakenKeys_) {
+    aContext.effects_.push_back(
+      LogLine{ "account_key_taken", { { "account", (*accounts)[account].name_ } } });
+  }
+  if (accounts) {
+    aContext.effects_.push_back(
+      LogLine{ "accounts_in_force",
+               { { "accounts", std::to_string(accounts->size()) },
+                 { "keys", std::to_string(aState.accountKeys_.byHash_.size()) } } });
+  }
+}
+
 /** Propagates a change of the configuration to the other modules. aSource names where it came from,
  * for the log. */
 void
@@ -26,6 +46,7 @@
 {
   const Configuration& config = ConfigOf(aState);
   aState.outbound_.candidatesStale_ = true;
+  IndexAccountKeys(aState, aContext);
   aContext.effects_.push_back(SetCallerLimits{ config.callerLimits_ });
   aState.outbound_.splits_ =
     RemoveUnconfiguredRoutes(std::move(aState.outbound_.splits_), config.routes_);
--- a/packages/policy/Effect.h
+++ b/packages/policy/Effect.h
@@ -94,6 +94,8 @@
 struct CallStore
 {
   StoreRequest request_;
+  /** Time after which the call counts as failed. */
+  Duration timeout_{ 0 };
 
   bool operator==(const CallStore&) const = default;
 };
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -7,6 +7,7 @@
 #include "model/Member.h"
 #include "model/Random.h"
 #include "model/Step.h"
+#include "policy/AccountKeys.h"
 #include "policy/Admission.h"
 #include "policy/BackendHeartbeats.h"
 #include "policy/BackendRetryBudget.h"
@@ -15,6 +16,7 @@
 #include "policy/Counters.h"
 #include "policy/Effect.h"
 #include "policy/Event.h"
+#include "policy/KeyLease.h"
 #include "policy/Membership.h"
 #include "policy/RetryBudget.h"
 #include "policy/Routing.h"
@@ -239,6 +241,11 @@
   /** For each call in flight, `era_` when it was started. */
   std::map<StoreTask, std::optional<std::uint64_t>> callEras_;
   bool readingConfiguration_ = false;
+  /** When the read in progress was started; of several pages, the first one. */
+  Instant configurationReadStartedAt_;
+  /** Whether the newest configuration in the store was decoded. Reads of changes refer to the
+   * record that an earlier read has found. */
+  bool hasDecodedNewest_ = false;
   Instant nextConfigurationReadAt_;
   /** AwaitConfiguration::from_ of the next call, a position in `era_`; nullopt when the newest
    * configuration must be read first. */
@@ -320,6 +327,9 @@
 {
   NodeSettings settings_;
   LogReader log_;
+  /** Of the configuration in effect. */
+  AccountKeys accountKeys_;
+  KeyLease keyLease_;
   MembershipState membership_;
   AdmissionState admission_;
   TicketTable tickets_;
@@ -375,6 +385,13 @@
   return aState.log_.state_.config_;
 }
 
+/** Whether keys of client accounts are accepted only under a lease, see KeyLease. */
+inline bool
+RequiresKeyLease(const NodeState& aState)
+{
+  return aState.settings_.keyRemovalBound_ && ConfigOf(aState).accounts_;
+}
+
 /** Returns nullptr when the kind is not declared. */
 const KindSpec*
 FindKind(const Configuration& aConfig, const std::string& aService, const std::string& aKind);
--- a/packages/policy/RequestMemory.cpp
+++ b/packages/policy/RequestMemory.cpp
@@ -14,30 +14,34 @@
 constexpr std::size_t kFieldOverheadBytes = sizeof(HeaderField);
 
 std::size_t
-FieldBytes(const std::optional<RoutedPart>& aRouted)
+FieldBytes(const std::vector<HeaderField>& aFields)
 {
   std::size_t bytes = 0;
-  if (aRouted) {
-    bytes += aRouted->host_.size() + aRouted->uri_.size();
-    for (const HeaderField& field : aRouted->headers_) {
-      bytes += field.name_.size() + field.value_.size() + kFieldOverheadBytes;
-    }
+  for (const HeaderField& field : aFields) {
+    bytes += field.name_.size() + field.value_.size() + kFieldOverheadBytes;
   }
   return bytes;
 }
 
+std::size_t
+RoutedBytes(const std::optional<RoutedPart>& aRouted)
+{
+  return aRouted ? aRouted->host_.size() + aRouted->uri_.size() + FieldBytes(aRouted->headers_) : 0;
+}
+
 } // namespace
 
 std::size_t
 RequestBytes(const CallerRequest& aRequest)
 {
-  return aRequest.body_.size() + aRequest.target_.size() + FieldBytes(aRequest.routed_);
+  return aRequest.body_.size() + aRequest.target_.size() + RoutedBytes(aRequest.routed_) +
+         FieldBytes(aRequest.accountFields_);
 }
 
 std::size_t
 RequestBytes(const Request& aRequest)
 {
-  return aRequest.body_.size() + aRequest.target_.size() + FieldBytes(aRequest.routed_);
+  return aRequest.body_.size() + aRequest.target_.size() + RoutedBytes(aRequest.routed_);
 }
 
 bool
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -22,6 +22,10 @@
  * exceeded by at most a quarter of a second. */
 constexpr Duration kOutcomeGrace = std::chrono::milliseconds(60);
 
+/** Base of the delay after which a caller returns to a node without a key lease. The lease resumes
+ * with the next answer of the store, which is asked at least once a second. */
+constexpr Duration kNoLeaseRetryDelay = std::chrono::seconds(1);
+
 Refusal
 NotRun(Reason aReason)
 {
@@ -58,16 +62,62 @@
   return route;
 }
 
+/** The refusal of a request without a valid key. Where this node may have missed a change of the
+ * configuration, the key may be valid, and the caller is sent to another node. */
+Refusal
+RefusalOfKey(const NodeState& aState, ReduceContext& aContext, const CallerRequest& aRequest)
+{
+  const bool mayBeOutdated =
+    aRequest.key_ && !aState.store_.reachable_ && !RequiresKeyLease(aState);
+  return mayBeOutdated ? Refusal{ Verdict::kNotRun,
+                                  Reason::kNoKeyLease,
+                                  aContext.random_.Jitter(kNoLeaseRetryDelay) }
+                       : NotRun(Reason::kUnknownKey);
+}
+
+/** The client account of the request; nullptr when it needs none. The refusal, when the request
+ * needs a key and has no valid one. */
+tl::expected<const AccountSpec*, Refusal>
+AccountOf(const NodeState& aState,
+          ReduceContext& aContext,
+          const CallerRequest& aRequest,
+          const RouteSpec& aRoute)
+{
+  const auto& accounts = ConfigOf(aState).accounts_;
+  if (!accounts || aRoute.public_ || aRequest.fromBackend_) {
+    return nullptr;
+  }
+  if (RequiresKeyLease(aState) && !IsHeld(aState.keyLease_, aContext.now_)) {
+    return tl::unexpected(Refusal{
+      Verdict::kNotRun, Reason::kNoKeyLease, aContext.random_.Jitter(kNoLeaseRetryDelay) });
+  }
+  const AccountSpec* account =
+    aRequest.key_ ? FindAccount(aState.accountKeys_, *accounts, *aRequest.key_) : nullptr;
+  if (account == nullptr) {
+    return tl::unexpected(RefusalOfKey(aState, aContext, aRequest));
+  }
+  return account;
+}
+
+/** The importance of the account takes precedence over that of the route. */
+Importance
+ImportanceOf(const AccountSpec* aAccount, const RouteSpec& aRoute)
+{
+  return aAccount != nullptr && aAccount->importance_ ? *aAccount->importance_
+                                                      : aRoute.kind_.importance_;
+}
+
 /** Whether no node that may serve the request admits it at present. A call of a backend server
  * takes the importance of its parent, so it is not judged by its route. */
 bool
 IsShedByLevel(NodeState& aState,
               ReduceContext& aContext,
               const CallerRequest& aRequest,
+              const AccountSpec* aAccount,
               const RouteSpec& aRoute)
 {
   const RouteQuery query{
-    aRoute.kind_.importance_,       RootRequestBucket(aRequest.rootRequestId_.value_or("")),
+    ImportanceOf(aAccount, aRoute), RootRequestBucket(aRequest.rootRequestId_.value_or("")),
     StableHash(aRoute.kind_.name_), {},
     aContext.random_.Next(),        !aRoute.kind_.idempotent_
   };
@@ -84,6 +134,7 @@
             ReduceContext& aContext,
             const CallerRequest& aOrigin,
             const std::optional<RequestId>& aLikelyParent,
+            const AccountSpec* aAccount,
             const RouteSpec& aRoute,
             const std::string& aService)
 {
@@ -92,11 +143,17 @@
     aOrigin.rootRequestId_ ? *aOrigin.rootRequestId_ : ToHex(aContext.random_.Next());
   request.service_ = aService;
   request.kind_ = aRoute.kind_.name_;
-  request.importance_ = aRoute.kind_.importance_;
+  request.importance_ = ImportanceOf(aAccount, aRoute);
   request.method_ = aOrigin.method_;
   request.body_ = aOrigin.body_;
   request.routed_ = aOrigin.routed_;
   request.routed_->originService_ = aState.settings_.identity_.service_;
+  request.routed_->account_ = aAccount == nullptr ? "" : aAccount->name_;
+  if (!ConfigOf(aState).accounts_) {
+    request.routed_->headers_.insert(request.routed_->headers_.end(),
+                                     aOrigin.accountFields_.begin(),
+                                     aOrigin.accountFields_.end());
+  }
   if (aLikelyParent) {
     const Request& outer = aState.inbound_.requests_.at(*aLikelyParent).request_;
     request.rootRequestId_ = outer.rootRequestId_;
@@ -126,6 +183,7 @@
          ReduceContext& aContext,
          CallId aId,
          const CallerRequestArrived& aEvent,
+         const AccountSpec* aAccount,
          const RouteSpec& aRoute,
          const std::string& aService)
 {
@@ -147,9 +205,12 @@
   }
   call.madeByRepeat_ =
     call.likelyParent_ && aState.inbound_.requests_.at(*call.likelyParent_).repeat_;
-  call.request_ = MakeRequest(aState, aContext, origin, call.likelyParent_, aRoute, aService);
+  call.request_ =
+    MakeRequest(aState, aContext, origin, call.likelyParent_, aAccount, aRoute, aService);
   call.origin_.body_ = {}; // In request_.
   call.origin_.routed_.reset();
+  call.origin_.key_.reset(); // Not kept longer than needed.
+  call.origin_.accountFields_.clear();
   call.idempotent_ = aRoute.kind_.idempotent_;
   call.ownsPool_ = true;
   call.pool_ = TokenPoolId{ aId.value_ };
@@ -169,11 +230,16 @@
     return;
   }
   const RouteSpec& route = **selected;
+  const auto account = AccountOf(aState, aContext, aEvent.request_, route);
+  if (!account) {
+    RefuseRequest(aState, aContext, aEvent, account.error());
+    return;
+  }
   const std::string service =
     Apply(aState.outbound_.splits_,
           ChoosePart(std::move(aState.outbound_.splits_), route, aContext.random_.Next()));
   const CallId id{ aState.outbound_.nextId_++ };
-  OutboundCall call = MakeCall(aState, aContext, id, aEvent, route, service);
+  OutboundCall call = MakeCall(aState, aContext, id, aEvent, *account, route, service);
   aState.outbound_.byExchange_.emplace(call.exchange_, id);
   aState.outbound_.calls_.emplace(id, std::move(call));
   aState.counters_.Add(CounterId::kCallsStarted);
@@ -190,7 +256,11 @@
   if (!route) {
     return route.error();
   }
-  if (IsShedByLevel(aState, aContext, aRequest, **route)) {
+  const auto account = AccountOf(aState, aContext, aRequest, **route);
+  if (!account) {
+    return account.error();
+  }
+  if (IsShedByLevel(aState, aContext, aRequest, *account, **route)) {
     return Refusal{ Verdict::kNotRun,
                     Reason::kShedByLevel,
                     aContext.random_.Jitter(RetryAfterHint(aState.admission_)) };
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -20,6 +20,8 @@
 /** Base of the delay after a failed call; it doubles with each consecutive failure. */
 constexpr Duration kBaseRetryDelay = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMaxRetryDoublings = 2;
+/** Time after which a call counts as failed, in addition to the wait that it requests itself. */
+constexpr Duration kCallTimeout = std::chrono::seconds(1);
 /** Nodes that start together write their announcements within this time, so a second listing finds
  * those that the first one missed. */
 constexpr Duration kSecondListingDelay = std::chrono::milliseconds(1500);
@@ -32,11 +34,28 @@
 /** The announcement is rewritten periodically, because a lost or late write may have removed it. */
 constexpr Duration kAnnounceInterval = std::chrono::seconds(60);
 
+/** While a key lease holds, the configuration is read again sooner, so that the lease need not end.
+ */
+Duration
+RetryDelay(const NodeState& aState, ReduceContext& aContext, StoreTask aTask)
+{
+  const Duration delay =
+    kBaseRetryDelay * (1U << std::min(aState.store_.failuresInRow_, kMaxRetryDoublings));
+  const bool isUrgent = aTask == StoreTask::kConfiguration && RequiresKeyLease(aState) &&
+                        IsHeld(aState.keyLease_, aContext.now_);
+  return aContext.random_.Jitter(
+    isUrgent ? std::min(delay, LeaseRetryDelay(*aState.settings_.keyRemovalBound_)) : delay);
+}
+
 Duration
-RetryDelay(const StoreState& aStore, ReduceContext& aContext)
+TimeoutOf(const NodeState& aState, const StoreRequest& aRequest)
 {
-  return aContext.random_.Jitter(kBaseRetryDelay *
-                                 (1U << std::min(aStore.failuresInRow_, kMaxRetryDoublings)));
+  Duration timeout = kCallTimeout;
+  if (TaskOf(aRequest) == StoreTask::kConfiguration && RequiresKeyLease(aState)) {
+    timeout = std::min(timeout, LeaseReadTime(*aState.settings_.keyRemovalBound_));
+  }
+  const auto* await = std::get_if<AwaitConfiguration>(&aRequest);
+  return await == nullptr ? timeout : timeout + await->wait_;
 }
 
 bool
@@ -77,12 +96,21 @@
 ChangeWait(const NodeState& aState, const ReduceContext& aContext)
 {
   const DomainPosition position = PositionInDomain(aState);
-  const auto interval = std::min(kDomainReadSpacing * position.nodes_, kMaxReadInterval);
+  auto interval = std::min(kDomainReadSpacing * position.nodes_, kMaxReadInterval);
+  if (RequiresKeyLease(aState)) {
+    interval = std::min(interval,
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                          LeaseReadTime(*aState.settings_.keyRemovalBound_)));
+  }
   const auto endsAt = interval * position.rank_ / position.nodes_;
   const auto intervalMs = static_cast<std::uint64_t>(interval.count());
   const auto time = std::chrono::milliseconds(aContext.wallTimeMs_ % intervalMs);
   const auto wait = (endsAt - time + interval) % interval;
-  return wait < kMinChangeWait ? wait + interval : wait;
+  if (wait >= kMinChangeWait) {
+    return wait;
+  }
+  // A read that must renew a key lease ends before the next time of the node instead.
+  return RequiresKeyLease(aState) ? interval : wait + interval;
 }
 
 /** Reads the list of nodes from its first page and writes the announcement of this node again. */
@@ -175,12 +203,63 @@
          (!aEvent.era_ || aEvent.era_ == aStore.era_);
 }
 
+/** Logs and counts the end of the key lease. */
+void
+ExpireLease(NodeState& aState, ReduceContext& aContext)
+{
+  const bool wasHeld = aState.keyLease_.held_;
+  aState.keyLease_ = ExpireKeyLease(aState.keyLease_, aContext.now_);
+  if (!wasHeld || aState.keyLease_.held_ || !RequiresKeyLease(aState)) {
+    return;
+  }
+  const Duration age = aContext.now_ - *aState.keyLease_.until_;
+  aState.counters_.Add(CounterId::kKeyLeasesLost);
+  aContext.effects_.push_back(
+    LogLine{ "key_lease_lost",
+             { { "ended_us_ago", std::to_string(age.count()) },
+               { "config_version", std::to_string(ConfigOf(aState).version_) },
+               { "store_reachable", aState.store_.reachable_ ? "1" : "0" } } });
+}
+
+/** Whether the reply to a read proves that this node has the newest configuration. A reply that
+ * names no era proves it only where no other does. */
+bool
+IsProof(const StoreState& aStore,
+        const ConfigurationRead& aReply,
+        std::optional<std::uint64_t> aEra)
+{
+  return aReply.reachesEnd_ && aStore.hasDecodedNewest_ && aEra == aStore.era_;
+}
+
+void
+RenewLease(NodeState& aState, ReduceContext& aContext)
+{
+  if (!aState.settings_.keyRemovalBound_) {
+    return;
+  }
+  ExpireLease(aState, aContext);
+  const bool hadLease = aState.keyLease_.held_;
+  aState.keyLease_ = RenewKeyLease(aState.keyLease_,
+                                   aState.store_.configurationReadStartedAt_,
+                                   *aState.settings_.keyRemovalBound_,
+                                   aContext.now_,
+                                   aContext.wallTimeMs_);
+  if (aState.keyLease_.held_ && !hadLease && RequiresKeyLease(aState)) {
+    const Duration left = *aState.keyLease_.until_ - aContext.now_;
+    aContext.effects_.push_back(
+      LogLine{ "key_lease_regained",
+               { { "left_us", std::to_string(left.count()) },
+                 { "config_version", std::to_string(ConfigOf(aState).version_) } } });
+  }
+}
+
 struct ReplyHandler
 {
   NodeState& state_;
   ReduceContext& context_;
   StoreTask task_;
   bool isOfCurrentEra_ = true;
+  std::optional<std::uint64_t> era_;
 
   void operator()(const ConfigurationRead& aReply) const
   {
@@ -198,6 +277,12 @@
     if (aReply.configuration_) {
       AdoptConfiguration(state_, context_, *aReply.configuration_);
     }
+    if (aReply.newest_ != NewestRecord::kNotIncluded) {
+      store.hasDecodedNewest_ = aReply.newest_ == NewestRecord::kDecoded;
+    }
+    if (isOfCurrentEra_ && IsProof(store, aReply, era_)) {
+      RenewLease(state_, context_);
+    }
   }
 
   void operator()(const AnnouncementsListed& aReply) const
@@ -246,7 +331,7 @@
   {
     StoreState& store = state_.store_;
     SetStoreReachable(state_, context_, task_, false, aReply.detail_);
-    const Instant next = context_.now_ + RetryDelay(store, context_);
+    const Instant next = context_.now_ + RetryDelay(state_, context_, task_);
     switch (task_) {
       case StoreTask::kConfiguration:
         store.readingConfiguration_ = false;
@@ -272,7 +357,8 @@
 StartStoreCall(NodeState& aState, ReduceContext& aContext, StoreRequest aRequest)
 {
   aState.store_.callEras_[TaskOf(aRequest)] = aState.store_.era_;
-  aContext.effects_.push_back(CallStore{ std::move(aRequest) });
+  const Duration timeout = TimeoutOf(aState, aRequest);
+  aContext.effects_.push_back(CallStore{ std::move(aRequest), timeout });
 }
 
 /** A node that knows no live peer does not wait for the next regular listing. */
@@ -297,7 +383,8 @@
   }
   const bool isOfCurrentEra = IsOfCurrentEra(aState.store_, aEvent);
   aState.store_.callEras_.erase(aEvent.task_);
-  std::visit(ReplyHandler{ aState, aContext, aEvent.task_, isOfCurrentEra }, aEvent.reply_);
+  std::visit(ReplyHandler{ aState, aContext, aEvent.task_, isOfCurrentEra, aEvent.era_ },
+             aEvent.reply_);
 }
 
 bool
@@ -313,13 +400,18 @@
   if (!aState.settings_.usesStore_) {
     return;
   }
+  ExpireLease(aState, aContext);
   StoreState& store = aState.store_;
   if (!store.readingConfiguration_ && aContext.now_ >= store.nextConfigurationReadAt_) {
     store.readingConfiguration_ = true;
+    if (store.nextChange_ || store.nextPage_.pagesBefore_ == 0) {
+      store.configurationReadStartedAt_ = aContext.now_;
+    }
     if (store.nextChange_) {
       StartStoreCall(
         aState, aContext, AwaitConfiguration{ *store.nextChange_, ChangeWait(aState, aContext) });
     } else {
+      store.hasDecodedNewest_ = false;
       StartStoreCall(aState, aContext, store.nextPage_);
     }
   }
--- a/packages/policy/tests/RoutedSimulation.h
+++ b/packages/policy/tests/RoutedSimulation.h
@@ -93,9 +93,10 @@
 
   void Configure(std::size_t aNode, Configuration aConfiguration)
   {
-    Inject(aNode,
-           StoreCallFinished{ StoreTask::kConfiguration,
-                              ConfigurationRead{ std::move(aConfiguration), 1, 0 } });
+    ConfigurationRead read{ std::move(aConfiguration), 1, 0 };
+    read.newest_ = NewestRecord::kDecoded;
+    read.reachesEnd_ = true;
+    Inject(aNode, StoreCallFinished{ StoreTask::kConfiguration, std::move(read) });
   }
 
   void Inject(std::size_t aNode, EventBody aBody)
