Write replies that are read slowly until the end of a planned stop

Cause: HasWork() counts requests and calls, but not replies that are being written. A stopping node without requests left when it closed its listener, ended 0.5 s later and wrote for 250 ms more, so a caller that read a long reply slowly lost the rest of it, with 3 s of the stop's bound unused.

Change: the event loop tells with each tick of a stop whether output to callers or to calls of other nodes is left, and IsExitDue() waits for it until stopTimeout_ + kLeaveGossipTime. Requests that are still in progress in this phase have the same time; before, they were cut off up to 0.5 s earlier. The last exit, with kExitFlushTimeout, stays below the kill. Idle connections have no output and delay nothing.

--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -235,7 +235,7 @@
     nextSocketCheckAt_ = now_ + kSocketCheckInterval;
     CheckSockets();
   }
-  Dispatch(Tick{});
+  Dispatch(Tick{ stopSeen_ && HasPendingOutput() });
   spdlog::default_logger()->flush();
 }
 
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -626,6 +626,30 @@
   cr_expect_throw(LoopbackPeer(server.address_), Poco::Exception);
 }
 
+/** Guards against a stop that closes the connection of a client that still reads its reply, and
+ * against one that waits for idle connections. */
+Test(http_server, stop_keeps_a_connection_until_its_reply_is_written)
+{
+  Server server;
+  LoopbackPeer idle(server.address_);
+  LoopbackPeer slow(server.address_);
+  slow.Send(kGet);
+  cr_assert(server.RunUntilRequests(1));
+  const std::string body(32U << 20, 'x');
+  server.Reply(0, body);
+  server.server_.CloseAfterReplies();
+  server.server_.StopAccepting();
+  server.server_.CloseIdle(server.now_);
+  cr_expect(server.server_.HasPendingOutput() && server.server_.ConnectionCount() == 1);
+  cr_assert(server.RunUntil([&] {
+    slow.Read();
+    return slow.received_.size() > body.size();
+  }));
+  cr_expect_not(server.server_.HasPendingOutput());
+  server.server_.CloseIdle(server.now_);
+  cr_expect_eq(server.server_.ConnectionCount(), 0U);
+}
+
 /** A reply larger than the socket buffer is sent in parts; a full buffer is not a disconnect. */
 Test(http_server, reply_larger_than_the_socket_buffer)
 {
--- a/packages/policy/Event.h
+++ b/packages/policy/Event.h
@@ -218,6 +218,9 @@
 /** Occurs every kTickInterval. */
 struct Tick
 {
+  /** Replies to callers or to other nodes are not completely written yet. */
+  bool hasUnwrittenReplies_ = false;
+
   bool operator==(const Tick&) const = default;
 };
 
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -281,6 +281,19 @@
   SendHandover(aState, aContext, successor);
 }
 
+/** Whether a node that leaves may end its process: other nodes have had time to learn of it, and no
+ * request is in progress and no reply is being written, or the time for both is over. Replies wait
+ * as long as the bound of the stop permits, since a caller may read a long one slowly. */
+bool
+IsExitDue(const NodeState& aState, Instant aNow)
+{
+  const LifecycleState& lifecycle = aState.lifecycle_;
+  const bool isStopOver =
+    aNow >= lifecycle.stopRequestedAt_ + aState.settings_.stopTimeout_ + kLeaveGossipTime;
+  return aNow >= lifecycle.phaseSince_ + kLeaveGossipTime &&
+         (isStopOver || (!HasWork(aState) && !lifecycle.hasUnwrittenReplies_));
+}
+
 void
 AdvanceStop(NodeState& aState, ReduceContext& aContext)
 {
@@ -313,9 +326,7 @@
       }
       break;
     case LifecyclePhase::kLeaving:
-      if (aContext.now_ >= lifecycle.phaseSince_ + kLeaveGossipTime && !HasWork(aState)) {
-        aContext.effects_.push_back(ExitProcess{});
-      } else if (isPastTimeout && aContext.now_ >= lifecycle.phaseSince_ + kLeaveGossipTime) {
+      if (IsExitDue(aState, aContext.now_)) {
         aContext.effects_.push_back(ExitProcess{});
       }
       break;
--- a/packages/policy/Lifecycle.h
+++ b/packages/policy/Lifecycle.h
@@ -10,7 +10,8 @@
 
 /** Time for gossip to spread that the node left, before its sockets close. */
 inline constexpr Duration kLeaveGossipTime = std::chrono::milliseconds(500);
-/** Longest time that the process still writes replies to slow readers after that. */
+/** Longest time that the process still writes replies to slow readers after the stop, whose last
+ * part is the time above. */
 inline constexpr Duration kExitFlushTimeout = std::chrono::milliseconds(250);
 
 void
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -310,6 +310,8 @@
   Instant drainStartedAt_;
   Instant stopRequestedAt_;
   bool hasStoppedAccepting_ = false;
+  /** As of the last tick. */
+  bool hasUnwrittenReplies_ = false;
   Instant nextHandoverSendAt_;
   bool backendHealthy_ = false;
 
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -175,7 +175,11 @@
   void operator()(const CommandArrived& aEvent) { HandleCommand(state_, context_, aEvent); }
   void operator()(const InForceQueried& aEvent) { HandleInForceQuery(state_, context_, aEvent); }
   void operator()(const StopRequested&) { HandleStopRequested(state_, context_); }
-  void operator()(const Tick&) { AdvanceAll(state_, context_); }
+  void operator()(const Tick& aEvent)
+  {
+    state_.lifecycle_.hasUnwrittenReplies_ = aEvent.hasUnwrittenReplies_;
+    AdvanceAll(state_, context_);
+  }
 };
 
 /** Delivers messages between this node's outbound and inbound roles. */
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -10,6 +10,7 @@
 
 using namespace fulmarway;
 using namespace fulmarway::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -342,6 +343,31 @@
   cr_expect_not(simulation.Effects<ExitProcess>(0).empty());
 }
 
+/** Guards against a stop that cuts off replies which callers read slowly, and against one that a
+ * caller which never reads holds beyond its bound. */
+Test(routed_calls, stop_waits_for_replies_that_are_being_written)
+{
+  const struct
+  {
+    Duration writtenAfter_;
+    Duration exit_;
+  } cases[] = { { 0ms, 3s }, { 1s, 3s }, { 3700ms, 3700ms }, { 1h, 5500ms } };
+  for (const auto& row : cases) {
+    RoutedSimulation simulation(2);
+    simulation.writing_ = { 0 };
+    simulation.Inject(0, StopRequested{});
+    const Instant start = simulation.now_;
+    while (simulation.Effects<ExitProcess>(0).empty()) {
+      if (simulation.now_ + kTickInterval >= start + row.writtenAfter_) {
+        simulation.writing_.clear();
+      }
+      simulation.Run(kTickInterval);
+    }
+    const auto late = (simulation.now_ - start - row.exit_) / kTickInterval;
+    cr_expect(late >= 0 && late <= 2, "%lld ticks late", static_cast<long long>(late));
+  }
+}
+
 /** Guards against a request that is taken late in a planned stop, passed on, and cut off without an
  * answer when the process exits. */
 Test(routed_calls, request_taken_during_a_stop_ends_before_the_exit)
--- a/packages/policy/tests/RoutedSimulation.h
+++ b/packages/policy/tests/RoutedSimulation.h
@@ -125,7 +125,7 @@
           heartbeat.draining_ = draining_.contains(i);
           Inject(i, BackendHeartbeatReceived{ heartbeat });
         }
-        Inject(i, Tick{});
+        Inject(i, Tick{ writing_.contains(i) });
       }
     }
   }
@@ -183,6 +183,8 @@
   std::vector<std::vector<Effect>> effects_;
   bool sendsHeartbeats_ = true;
   std::set<std::size_t> draining_;
+  /** Nodes with replies that are not completely written. */
+  std::set<std::size_t> writing_;
 
 private:
   std::size_t NodeAt(const std::string& aAddress) const
