--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -315,13 +315,52 @@
   bool operator==(const RecordsReply&) const = default;
 };
 
+/** Moves the quota that the sender has accrued since its last handover to the pools of the receiver:
+ * for each account of the bucket its rate x `accrued_` / `nodes_`. */
+struct QuotaHandover
+{
+  std::uint32_t bucket_ = 0;
+  /** Number of nodes that accrue, as known to the sender. */
+  std::uint32_t nodes_ = 1;
+  Duration accrued_{ 0 };
+
+  bool operator==(const QuotaHandover&) const = default;
+};
+
+/** Asks for tokens of an account from its pool on the receiver. */
+struct QuotaRequest
+{
+  /** Chosen by the sender; the grant contains it. */
+  std::uint64_t number_ = 0;
+  std::string account_;
+  std::uint32_t tokens_ = 0;
+
+  bool operator==(const QuotaRequest&) const = default;
+};
+
+/** Moves tokens from a pool to the sender of a QuotaRequest. */
+struct QuotaGrant
+{
+  std::uint64_t number_ = 0;
+  std::string account_;
+  std::uint32_t tokens_ = 0;
+  /** If fewer tokens were granted than asked for: the time until the pool has room for the others.
+   * Zero with no tokens if the sender keeps no pool of the account. */
+  Duration roomIn_{ 0 };
+
+  bool operator==(const QuotaGrant&) const = default;
+};
+
 using GossipBody = std::variant<Probe,
                                 ProbeAck,
                                 ProbeRequest,
                                 DigestExchange,
                                 SummaryExchange,
                                 RecordsRequest,
-                                RecordsReply>;
+                                RecordsReply,
+                                QuotaHandover,
+                                QuotaRequest,
+                                QuotaGrant>;
 
 /** A gossip datagram. */
 struct GossipMessage
--- a/packages/policy/Counters.cpp
+++ b/packages/policy/Counters.cpp
@@ -25,6 +25,10 @@
   "log_appends",
   "log_append_failures",
   "config_fetches",
+  "quota_tokens_used",
+  "quota_tokens_returned",
+  "quota_messages_received",
+  "quota_messages_sent",
 };
 
 } // namespace
--- a/packages/policy/Counters.h
+++ b/packages/policy/Counters.h
@@ -41,10 +41,14 @@
   kLogAppends,
   kLogAppendFailures,
   kConfigFetches,
+  kQuotaTokensUsed,
+  kQuotaTokensReturned,
+  kQuotaMessagesReceived,
+  kQuotaMessagesSent,
 };
 
 inline constexpr std::size_t kCounterCount =
-  static_cast<std::size_t>(CounterId::kConfigFetches) + 1;
+  static_cast<std::size_t>(CounterId::kQuotaMessagesSent) + 1;
 
 /** Metric name without the prefix "fulmarway_" and the suffix "_total". */
 std::string_view
--- a/packages/policy/Membership.cpp
+++ b/packages/policy/Membership.cpp
@@ -65,6 +65,10 @@
     HandleRecordsRequest(context_, message_, aBody);
   }
   void operator()(const RecordsReply&) const {}
+  // Quotas of accounts are handled by policy/AccountQuotas.
+  void operator()(const QuotaHandover&) const {}
+  void operator()(const QuotaRequest&) const {}
+  void operator()(const QuotaGrant&) const {}
 };
 
 /** Records a contact with the sender if its record is of the same incarnation; otherwise requests
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -16,6 +16,7 @@
 #include "policy/Effect.h"
 #include "policy/Event.h"
 #include "policy/Membership.h"
+#include "policy/QuotaNode.h"
 #include "policy/RetryBudget.h"
 #include "policy/Routing.h"
 #include "policy/TicketTable.h"
@@ -32,17 +33,6 @@
 
 namespace fulmarway {
 
-/** How far the requests of a client account may exceed its quota in any window of this length: by
- * a share of the quota, and by a number of requests. */
-struct QuotaBounds
-{
-  Duration window_ = std::chrono::seconds(5);
-  double over_ = 0.1;
-  double slack_ = 20;
-
-  bool operator==(const QuotaBounds&) const = default;
-};
-
 /** Settings from the command line and the environment; constant for the lifetime of the process. */
 struct NodeSettings
 {
@@ -175,6 +165,9 @@
   bool madeByRepeat_ = false;
   /** A backend server has received an attempt that ended. */
   bool hasReachedBackend_ = false;
+  /** The call is not sent before it has a token of its account. */
+  bool waitsForToken_ = false;
+  std::optional<TakenToken> token_;
 
   bool operator==(const OutboundCall&) const = default;
 };
@@ -330,6 +323,7 @@
   ControlState control_;
   LifecycleState lifecycle_;
   StoreState store_;
+  QuotaState quota_;
   /** nullopt before the first heartbeat, and always with health checks. */
   std::optional<BackendInstance> backend_;
   std::vector<PendingAcknowledgement> pendingAcknowledgements_;
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -1,5 +1,6 @@
 #include "policy/OutboundCalls.h"
 
+#include "policy/AccountQuotas.h"
 #include "policy/Inbound.h"
 #include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
@@ -191,6 +192,9 @@
     aRefusal.verdict_ = Verdict::kMayHaveRun;
   }
   const bool isNotRun = aRefusal.verdict_ == Verdict::kNotRun;
+  if (isNotRun && call.token_) {
+    ReturnQuotaToken(aState, aContext, *call.token_);
+  }
   const auto& parent = call.likelyParent_ ? call.likelyParent_ : call.origin_.parent_;
   if (isNotRun && parent) {
     RecordRefusedDownstreamCall(aState, *parent, { call.request_.service_, call.request_.kind_ });
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -1,5 +1,6 @@
 #include "policy/Reducer.h"
 
+#include "policy/AccountQuotas.h"
 #include "policy/Control.h"
 #include "policy/Inbound.h"
 #include "policy/Lifecycle.h"
@@ -85,6 +86,7 @@
       aState, aContext, Apply(aState.admission_, Advance(std::move(aState.admission_), now)));
     aState.tickets_ = AdvanceTickets(std::move(aState.tickets_), now);
   }
+  AdvanceAccountQuotas(aState, aContext);
   AdvanceInbound(aState, aContext);
   AdvanceOutbound(aState, aContext);
   AdvanceControl(aState, aContext);
@@ -168,6 +170,7 @@
       context_,
       HandleGossip(
         std::move(state_.membership_), aEvent.message_, context_.random_.Next(), context_.now_));
+    HandleQuotaGossip(state_, context_, aEvent.message_);
   }
   void operator()(const LogRecordsRead& aEvent) { HandleLogRecordsRead(state_, context_, aEvent); }
   void operator()(const LogReadFailed&) { HandleLogReadFailed(state_, context_); }
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -1,5 +1,6 @@
 #include "policy/RoutedCalls.h"
 
+#include "policy/AccountQuotas.h"
 #include "policy/Lifecycle.h"
 #include "policy/OutboundCalls.h"
 #include "policy/RequestMemory.h"
@@ -177,7 +178,7 @@
   aState.outbound_.byExchange_.emplace(call.exchange_, id);
   aState.outbound_.calls_.emplace(id, std::move(call));
   aState.counters_.Add(CounterId::kCallsStarted);
-  TryTarget(aState, aContext, id);
+  TakeQuotaToken(aState, aContext, id);
 }
 
 std::optional<Refusal>
--- a/packages/policy/StoreSync.cpp
+++ b/packages/policy/StoreSync.cpp
@@ -1,5 +1,6 @@
 #include "policy/StoreSync.h"
 
+#include "policy/AccountQuotas.h"
 #include "policy/Control.h"
 
 #include <algorithm>
@@ -206,6 +207,7 @@
     SetStoreReachable(state_, context_, task_, true, "");
     store.listing_ = false;
     for (const MemberRecord& member : aReply.members_) {
+      RecordListedNode(state_, member, context_.now_);
       ApplyGossipOutput(
         state_,
         context_,
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -570,6 +570,27 @@
 {
 }
 
+template<class Archive>
+void
+serialize(Archive& aArchive, QuotaHandover& aValue)
+{
+  aArchive(aValue.bucket_, aValue.nodes_, aValue.accrued_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, QuotaRequest& aValue)
+{
+  aArchive(aValue.number_, aValue.account_, aValue.tokens_);
+}
+
+template<class Archive>
+void
+serialize(Archive& aArchive, QuotaGrant& aValue)
+{
+  aArchive(aValue.number_, aValue.account_, aValue.tokens_, aValue.roomIn_);
+}
+
 template<class Archive>
 void
 serialize(Archive& aArchive, GossipMessage& aValue)
