--- a/packages/ctl/Render.cpp
+++ b/packages/ctl/Render.cpp
@@ -259,6 +259,42 @@
                          FormatAdmissionLevel(aDocument.level_) } });
 }
 
+std::string
+Render(const AccountsDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return ToJsonLine(aDocument);
+  }
+  const auto rate = [](std::uint64_t aMilli) {
+    const std::string fraction = std::to_string(1000 + aMilli % 1000).substr(1);
+    return std::to_string(aMilli / 1000) + '.' + fraction;
+  };
+  std::vector<Row> rows;
+  for (const AccountView& account : aDocument.accounts_) {
+    rows.push_back({ Printable(account.name_),
+                     rate(account.limitMilli_),
+                     std::to_string(account.burst_),
+                     rate(account.demandMilli_),
+                     std::to_string(account.used_),
+                     std::to_string(account.refused_),
+                     std::to_string(account.pool_),
+                     std::to_string(account.contributors_),
+                     OrDash(account.poolNode_) });
+  }
+  return "quotas divided among " + std::to_string(aDocument.nodes_) + " nodes; this node " +
+         (aDocument.accrues_ ? "accrues" : "does not accrue yet") + '\n' +
+         RenderTable({ { "ACCOUNT" },
+                       { "RATE/S", Align::kRight },
+                       { "BURST", Align::kRight },
+                       { "DEMAND/S", Align::kRight },
+                       { "USED", Align::kRight },
+                       { "REFUSED", Align::kRight },
+                       { "POOL", Align::kRight },
+                       { "CONTRIBUTORS", Align::kRight },
+                       { "POOL NODE" } },
+                     rows);
+}
+
 std::string
 Render(const AuditDocument& aDocument, OutputFormat aFormat)
 {
--- a/packages/ctl/Render.h
+++ b/packages/ctl/Render.h
@@ -31,6 +31,8 @@
 std::string
 Render(const LoadDocument& aDocument, OutputFormat aFormat);
 std::string
+Render(const AccountsDocument& aDocument, OutputFormat aFormat);
+std::string
 Render(const AuditDocument& aDocument, OutputFormat aFormat);
 std::string
 Render(const WhyDocument& aDocument, OutputFormat aFormat);
--- a/packages/ctl/Session.cpp
+++ b/packages/ctl/Session.cpp
@@ -149,6 +149,8 @@
       return PrintDocument("/control/v1/shed", ParseShedDocument);
     case ShowTopic::kLoad:
       return PrintDocument("/control/v1/load", ParseLoadDocument);
+    case ShowTopic::kAccounts:
+      return PrintDocument("/control/v1/accounts", ParseAccountsDocument);
   }
   return ExitStatus::kUsage;
 }
--- a/packages/ctl/tests/ParserTest.cpp
+++ b/packages/ctl/tests/ParserTest.cpp
@@ -88,6 +88,7 @@
     { "show config", ShowStatement{ ShowTopic::kConfig } },
     { "show shed", ShowStatement{ ShowTopic::kShed } },
     { "\tshow   load\r", ShowStatement{ ShowTopic::kLoad } },
+    { "show accounts", ShowStatement{ ShowTopic::kAccounts } },
     { "why 4f#2,9", WhyStatement{ "4f#2,9" } },
     { "audit", AuditStatement{ 20 } },
     { "audit last 5", AuditStatement{ 5 } },
@@ -133,7 +134,7 @@
     { "drain 10.0.0.01:7000", 1, 7, 14, "IP:PORT" },
     { "drain 10.0.0.1:65536", 1, 7, 14, "IP:PORT" },
     { "undrain 10.0.0.1:7000 now", 1, 23, 3, "expected the end" },
-    { "show load\n  show\tlaod", 2, 8, 4, "services, members, config, shed or load" },
+    { "show load\n  show\tlaod", 2, 8, 4, "services, members, config, shed, load or accounts" },
     { "show load; audit last 1001", 1, 23, 4, "from 1 to 1000" },
     { "wait version 1 timeout 3601s", 1, 24, 5, "at most 3600s" },
     { "why \xc3\xa9t\xc3\xa9 x", 1, 9, 1, "expected the end" },
@@ -168,11 +169,12 @@
     "  ^\n");
   const auto missing = ParseScript("\tshow ");
   cr_assert_not(missing.has_value());
-  cr_assert_eq(RenderSyntaxError(missing.error(), "input"),
-               "input:1:6: expected services, members, config, shed or load, found the end of the "
-               "statement\n"
-               "   show \n"
-               "       ^\n");
+  cr_assert_eq(
+    RenderSyntaxError(missing.error(), "input"),
+    "input:1:6: expected services, members, config, shed, load or accounts, found the end of the "
+    "statement\n"
+    "   show \n"
+    "       ^\n");
 }
 
 Test(parser, nothing_of_a_wrong_script_is_returned)
--- a/packages/model/ControlDocuments.h
+++ b/packages/model/ControlDocuments.h
@@ -150,6 +150,41 @@
   bool operator==(const LoadDocument&) const = default;
 };
 
+/** The quota of a client account as this node sees it. Rates are in thousandths of a request per
+ * second. */
+struct AccountView
+{
+  std::string name_;
+  std::uint64_t limitMilli_ = 0;
+  std::uint64_t burst_ = 0;
+  /** Arrivals at this node in the last half second. */
+  std::uint64_t demandMilli_ = 0;
+  /** Requests that took a token at this node, and requests that it refused as over the quota, since
+   * its start. */
+  std::uint64_t used_ = 0;
+  std::uint64_t refused_ = 0;
+  /** Tokens in the pool of this node, and the nodes that contribute to it; 0 where it keeps none.
+   */
+  std::uint64_t pool_ = 0;
+  std::uint32_t contributors_ = 0;
+  /** Peer address of the node that this one asks for tokens. */
+  std::string poolNode_;
+
+  bool operator==(const AccountView&) const = default;
+};
+
+/** `GET /control/v1/accounts`: the accounts with a quota. */
+struct AccountsDocument
+{
+  /** Nodes among which the quotas are divided. */
+  std::uint32_t nodes_ = 0;
+  /** Whether this node accrues its part. */
+  bool accrues_ = false;
+  std::vector<AccountView> accounts_;
+
+  bool operator==(const AccountsDocument&) const = default;
+};
+
 struct AuditLine
 {
   /** Wall clock of the node that received the command, milliseconds since 1970. */
--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -315,14 +315,19 @@
   bool operator==(const RecordsReply&) const = default;
 };
 
-/** Moves the quota that the sender has accrued since its last handover to the pools of the receiver:
- * for each account of the bucket its rate x `accrued_` / `nodes_`. */
+/** Moves the quota that the sender has accrued since its last handover to the pools of the
+ * receiver: for each account of the bucket its rate x `accrued_` / `nodes_`. */
 struct QuotaHandover
 {
   std::uint32_t bucket_ = 0;
   /** Number of nodes that accrue, as known to the sender. */
   std::uint32_t nodes_ = 1;
   Duration accrued_{ 0 };
+  /** Counts the handovers of the bucket by the sender, from 1. */
+  std::uint32_t number_ = 0;
+  /** `accrued_` of the handover before, which may have been lost; zero if that one went to another
+   * node. */
+  Duration previous_{ 0 };
 
   bool operator==(const QuotaHandover&) const = default;
 };
@@ -330,7 +335,8 @@
 /** Asks for tokens of an account from its pool on the receiver. */
 struct QuotaRequest
 {
-  /** Chosen by the sender; the grant contains it. */
+  /** Chosen by the sender; the grant contains it. The same in a repetition, which gets the same
+   * grant. */
   std::uint64_t number_ = 0;
   std::string account_;
   std::uint32_t tokens_ = 0;
--- a/packages/node/AdminDocuments.cpp
+++ b/packages/node/AdminDocuments.cpp
@@ -1,6 +1,9 @@
 #include "node/AdminDocuments.h"
 
+#include "policy/RouteCandidates.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace fulmarway {
 
@@ -82,6 +85,39 @@
            static_cast<std::uint32_t>(TicketCount(aState.tickets_)) };
 }
 
+AccountsDocument
+MakeAccountsDocument(const NodeState& aState)
+{
+  const QuotaState& quota = aState.quota_;
+  const auto milli = [](double aRate) {
+    return static_cast<std::uint64_t>(std::llround(aRate * 1000));
+  };
+  AccountsDocument document{ quota.view_.nodes_, quota.hasAccrued_, {} };
+  for (const auto& [name, spec] : quota.quotas_) {
+    AccountView view;
+    view.name_ = name;
+    view.limitMilli_ = milli(spec.ratePerSecond_);
+    view.burst_ = static_cast<std::uint64_t>(std::ceil(spec.burst_));
+    const auto tokens = quota.tokens_.accounts_.find(name);
+    if (tokens != quota.tokens_.accounts_.end()) {
+      view.demandMilli_ = milli(tokens->second.demand_);
+      view.used_ = tokens->second.used_;
+      view.refused_ = tokens->second.refused_;
+    }
+    const auto pool = quota.pools_.accounts_.find(name);
+    if (pool != quota.pools_.accounts_.end()) {
+      view.pool_ = static_cast<std::uint64_t>(pool->second.tokens_);
+      view.contributors_ =
+        static_cast<std::uint32_t>(quota.pools_.buckets_[spec.bucket_].contributors_.size());
+    }
+    const NodeId poolNode = NodesToAsk(quota.accrual_, quota.view_, spec.bucket_)[0];
+    const NodeIdentity& self = aState.settings_.identity_;
+    view.poolNode_ = poolNode == self.id_ ? self.peerAddress_ : PeerAddressOf(aState, poolNode);
+    document.accounts_.push_back(std::move(view));
+  }
+  return document;
+}
+
 AuditDocument
 MakeAuditDocument(const NodeState& aState, std::size_t aLast)
 {
--- a/packages/node/AdminDocuments.h
+++ b/packages/node/AdminDocuments.h
@@ -23,6 +23,9 @@
 LoadDocument
 MakeLoadDocument(const NodeState& aState, std::size_t aConnections);
 
+AccountsDocument
+MakeAccountsDocument(const NodeState& aState);
+
 AuditDocument
 MakeAuditDocument(const NodeState& aState, std::size_t aLast);
 
--- a/packages/node/tests/AdminApiTest.cpp
+++ b/packages/node/tests/AdminApiTest.cpp
@@ -81,6 +81,7 @@
     { "/control/v1/config", "GET" },
     { "/control/v1/shed", "GET" },
     { "/control/v1/load", "GET" },
+    { "/control/v1/accounts", "GET" },
     { "/control/v1/audit", "GET" },
     { "/control/v1/why", "GET" },
     { "/control/v1/inforce", "GET" },
--- a/packages/policy/AccountQuotas.cpp
+++ b/packages/policy/AccountQuotas.cpp
@@ -212,8 +212,8 @@
 {
   auto& listed = aState.quota_.listed_;
   const NodeId id = aRecord.identity_.id_;
-  const bool hasLeft = aRecord.state_ == MemberState::kLeft ||
-                       (aRecord.departure_ && aRecord.departure_->final_);
+  const bool hasLeft =
+    aRecord.state_ == MemberState::kLeft || (aRecord.departure_ && aRecord.departure_->final_);
   if (id != aState.settings_.identity_.id_ && !hasLeft && listed.size() < kMaxListedNodes) {
     listed.emplace(id, aNow);
   }
--- a/packages/policy/GossipQueue.cpp
+++ b/packages/policy/GossipQueue.cpp
@@ -73,7 +73,7 @@
     return kLengthBytes + kIdBytes * aBody.nodes_.size();
   }
   std::size_t operator()(const RecordsReply&) const { return 0; }
-  std::size_t operator()(const QuotaHandover&) const { return 4 + 4 + 8; }
+  std::size_t operator()(const QuotaHandover&) const { return 4 + 4 + 8 + 4 + 8; }
   std::size_t operator()(const QuotaRequest& aBody) const
   {
     return 8 + TextBytes(aBody.account_) + 4;
--- a/packages/policy/QuotaAccrual.cpp
+++ b/packages/policy/QuotaAccrual.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** Half of over_ x window_ is clamped to this range. Shorter intervals would cost too many messages;
- * longer ones would delay tokens without saving much. */
+/** Half of over_ x window_ is clamped to this range. Shorter intervals would cost too many
+ * messages; longer ones would delay tokens without saving much. */
 constexpr Duration kMinHalfBudget = std::chrono::milliseconds(100);
 constexpr Duration kMaxHalfBudget = std::chrono::milliseconds(500);
 /** Ticks occur every 20 ms and may be late. */
@@ -80,10 +80,7 @@
 }
 
 std::vector<std::pair<NodeId, QuotaHandover>>
-AdvanceAccrual(QuotaAccrual& aState,
-               const QuotaView& aView,
-               const QuotaTimes& aTimes,
-               Instant aNow)
+AdvanceAccrual(QuotaAccrual& aState, const QuotaView& aView, const QuotaTimes& aTimes, Instant aNow)
 {
   const Instant since = aState.advancedAt_.value_or(aNow);
   aState.advancedAt_ = aNow;
@@ -111,8 +108,12 @@
     if (first == NodeId{} || mustWait) {
       continue; // The accrual of this bucket is lost.
     }
-    target = { first, aNow };
-    handovers.emplace_back(first, QuotaHandover{ bucket, aView.nodes_, accrued });
+    // After a longer gap the receiver has forgotten this node and its number.
+    const bool isNext = target.node_ == first && aNow - target.sentAt_ < 2 * aTimes.accrualLimit_;
+    const Duration previous = isNext ? target.accrued_ : Duration{ 0 };
+    target = { first, aNow, target.number_ + 1, accrued };
+    handovers.emplace_back(
+      first, QuotaHandover{ bucket, aView.nodes_, accrued, target.number_, previous });
   }
   return handovers;
 }
--- a/packages/policy/QuotaAccrual.h
+++ b/packages/policy/QuotaAccrual.h
@@ -1,9 +1,11 @@
 /** \file
- * Accrual of the quotas of all client accounts at one node, and the nodes that it is handed over to.
+ * Accrual of the quotas of all client accounts at one node, and the nodes that it is handed over
+ * to.
  *
- * Load pattern: an account sends its requests to any nodes, in changing shares. Every node accrues an
- * equal part of every quota and moves it to one pool for each account, where any entry node can take
- * it. Tokens are moved and never copied, so that the quota holds without agreement between nodes.
+ * Load pattern: an account sends its requests to any nodes, in changing shares. Every node accrues
+ * an equal part of every quota and moves it to one pool for each account, where any entry node can
+ * take it. Tokens are moved and never copied, so that the quota holds without agreement between
+ * nodes.
  */
 #pragma once
 
@@ -49,7 +51,8 @@
    * intervals, so that one lost datagram changes nothing. */
   Duration contributionLifetime_{ 0 };
   /** After its last handover to one pool node, a node hands nothing over to another for this long.
-   * Otherwise it would count at both, and the limits of the pools would exceed the quota together. */
+   * Otherwise it would count at both, and the limits of the pools would exceed the quota together.
+   */
   Duration switchDelay_{ 0 };
 
   bool operator==(const QuotaTimes&) const = default;
@@ -105,6 +108,9 @@
 {
   NodeId node_;
   Instant sentAt_;
+  /** QuotaHandover::number_ and accrued_ of the last handover. */
+  std::uint32_t number_ = 0;
+  Duration accrued_{ 0 };
 
   bool operator==(const HandoverTarget&) const = default;
 };
@@ -130,8 +136,8 @@
                const QuotaTimes& aTimes,
                Instant aNow);
 
-/** The nodes to ask for tokens of a bucket, in this order. While a handover to a new pool node has to
- * wait, the previous one comes first, because it holds the tokens. */
+/** The nodes to ask for tokens of a bucket, in this order. While a handover to a new pool node has
+ * to wait, the previous one comes first, because it holds the tokens. */
 PoolNodes
 NodesToAsk(const QuotaAccrual& aState, const QuotaView& aView, std::uint32_t aBucket);
 
--- a/packages/policy/QuotaNode.cpp
+++ b/packages/policy/QuotaNode.cpp
@@ -16,9 +16,7 @@
 PoolContext
 MakePoolContext(const QuotaState& aState, const QuotaContext& aContext)
 {
-  return {
-    aState.quotas_, aContext.bounds_, aContext.times_, aState.view_.nodes_, aContext.now_
-  };
+  return { aState.quotas_, aContext.bounds_, aContext.times_, aState.view_.nodes_, aContext.now_ };
 }
 
 void
@@ -39,8 +37,8 @@
     aTokens.outcomes_.begin(), aTokens.outcomes_.end(), std::back_inserter(aContext.outcomes_));
   for (TokenAsk& ask : aTokens.asks_) {
     const auto quota = aState.quotas_.find(ask.request_.account_);
-    const PoolNodes nodes =
-      NodesToAsk(aState.accrual_, aState.view_, quota == aState.quotas_.end() ? 0 : quota->second.bucket_);
+    const PoolNodes nodes = NodesToAsk(
+      aState.accrual_, aState.view_, quota == aState.quotas_.end() ? 0 : quota->second.bucket_);
     const NodeId to = nodes[ask.stage_ == AskStage::kSecondNode ? 1 : 0];
     Send(aState, aContext, to, std::move(ask.request_));
   }
@@ -61,7 +59,7 @@
     Send(state_,
          context_,
          from_,
-         GrantTokens(state_.pools_, MakePoolContext(state_, context_), aBody));
+         GrantTokens(state_.pools_, MakePoolContext(state_, context_), from_, aBody));
   }
   void operator()(const QuotaGrant& aBody) const
   {
--- a/packages/policy/QuotaPool.cpp
+++ b/packages/policy/QuotaPool.cpp
@@ -7,16 +7,14 @@
 
 namespace {
 
-/** Allowance of a contributor beyond the accrual limit, for delays of its datagrams that differ. */
-constexpr Duration kDelayTolerance = std::chrono::milliseconds(50);
 /** After a pause, the datagrams that waited are read within this time. */
 constexpr Duration kBufferDrainTime = std::chrono::milliseconds(500);
 /** Limit of the tokens of one request; a larger number comes from a faulty sender. */
 constexpr std::uint32_t kMaxTokensPerRequest = 100'000;
 /** Times further in the future are not reserved: few clients wait that long. */
 constexpr Duration kMaxReservation = std::chrono::seconds(4);
-/** Grants within this time are kept as one entry. */
-constexpr Duration kGrantResolution = std::chrono::milliseconds(25);
+/** Grants that are searched for a repeated request. A repetition comes within 100 ms. */
+constexpr std::size_t kMaxGrantsSearched = 256;
 
 double
 Seconds(Duration aTime)
@@ -35,8 +33,9 @@
           const BucketPool& aBucket,
           const PoolContext& aContext)
 {
+  // The handover before the one that is due may have been lost and is then made good.
   const Duration since =
-    std::min(aContext.now_ - aContributor.lastAt_, aContext.times_.accrualLimit_);
+    std::min(aContext.now_ - aContributor.lastAt_, 2 * aContext.times_.accrualLimit_);
   return Seconds(since) / std::max(aBucket.nodes_, aContributor.nodes_);
 }
 
@@ -47,8 +46,8 @@
   return std::min(1.0, static_cast<double>(aBucket.contributors_.size()) / aBucket.nodes_);
 }
 
-/** Limit of the tokens in the pool, not counting the accrual that has not arrived and the grants that
- * may not have been used. */
+/** Limit of the tokens in the pool, not counting the accrual that has not arrived and the grants
+ * that may not have been used. */
 double
 RoomOf(const AccountPool& aPool,
        const AccountQuota& aQuota,
@@ -56,9 +55,9 @@
        const PoolContext& aContext)
 {
   const Duration allowed = aContext.times_.accrualLimit_ + aContext.times_.tokenLifetime_;
-  const double limit = (aQuota.burst_ + aContext.bounds_.slack_ / 2 +
-                        aQuota.ratePerSecond_ * Seconds(allowed)) *
-                       ShareOf(aBucket);
+  const double limit =
+    (aQuota.burst_ + aContext.bounds_.slack_ / 2 + aQuota.ratePerSecond_ * Seconds(allowed)) *
+    ShareOf(aBucket);
   return limit - static_cast<double>(aPool.recentTokens_) -
          aQuota.ratePerSecond_ * aBucket.outstanding_;
 }
@@ -91,19 +90,18 @@
   return pool->second;
 }
 
-void
-RecordGrant(AccountPool& aPool, std::uint32_t aTokens, Instant aNow)
+/** The tokens of an earlier grant for the same request; nullopt if there was none. */
+std::optional<std::uint32_t>
+FindGrant(const AccountPool& aPool, NodeId aTo, std::uint64_t aNumber)
 {
-  aPool.tokens_ -= aTokens;
-  aPool.recentTokens_ += aTokens;
-  // Rounded up, so that no grant is forgotten too early.
-  const Duration late = aNow.time_since_epoch() % kGrantResolution;
-  const Instant at = late == Duration{ 0 } ? aNow : aNow - late + kGrantResolution;
-  if (!aPool.recent_.empty() && aPool.recent_.back().at_ == at) {
-    aPool.recent_.back().tokens_ += aTokens;
-  } else {
-    aPool.recent_.push_back({ at, aTokens });
-  }
+  const std::size_t count = std::min(aPool.recent_.size(), kMaxGrantsSearched);
+  const auto found = std::find_if(
+    aPool.recent_.rbegin(),
+    aPool.recent_.rbegin() + static_cast<std::ptrdiff_t>(count),
+    [&](const RecentGrant& aGrant) { return aGrant.to_ == aTo && aGrant.number_ == aNumber; });
+  return found == aPool.recent_.rbegin() + static_cast<std::ptrdiff_t>(count)
+           ? std::nullopt
+           : std::optional(found->tokens_);
 }
 
 /** Reserves one time for each of aCount tokens and returns the wait for the first. */
@@ -141,17 +139,17 @@
   const Duration limit = aContext.times_.accrualLimit_;
   const auto [entry, isNew] = bucket.contributors_.try_emplace(aFrom);
   QuotaContributor& contributor = entry->second;
-  if (isNew) {
-    contributor.allowance_ = limit;
-  } else {
+  if (!isNew && aHandover.number_ <= contributor.number_) {
+    return; // A copy of a datagram, or one that a later one overtook and made good.
+  }
+  Duration accrued = std::clamp(aHandover.accrued_, Duration{ 0 }, limit);
+  if (!isNew) {
+    if (aHandover.number_ != contributor.number_ + 1) {
+      accrued += std::clamp(aHandover.previous_, Duration{ 0 }, limit);
+    }
     bucket.outstanding_ -= std::min(HeldShare(contributor, bucket, aContext), bucket.outstanding_);
-    contributor.allowance_ =
-      std::min(contributor.allowance_ + (aContext.now_ - contributor.lastAt_),
-               limit + kDelayTolerance);
   }
-  const Duration accrued =
-    std::clamp(aHandover.accrued_, Duration{ 0 }, std::min(limit, contributor.allowance_));
-  contributor.allowance_ -= accrued;
+  contributor.number_ = aHandover.number_;
   contributor.lastAt_ = aContext.now_;
   contributor.nodes_ = std::max(1U, aHandover.nodes_);
   bucket.nodes_ = std::max({ bucket.nodes_, contributor.nodes_, aContext.nodes_ });
@@ -159,7 +157,10 @@
 }
 
 QuotaGrant
-GrantTokens(QuotaPools& aState, const PoolContext& aContext, const QuotaRequest& aRequest)
+GrantTokens(QuotaPools& aState,
+            const PoolContext& aContext,
+            NodeId aTo,
+            const QuotaRequest& aRequest)
 {
   QuotaGrant grant{ aRequest.number_, aRequest.account_, 0, Duration{ 0 } };
   const auto quota = aContext.quotas_.find(aRequest.account_);
@@ -173,9 +174,15 @@
   AccountPool& pool = PoolOf(aState, aRequest.account_, bucket);
   SettlePool(pool, quota->second, bucket, aContext);
   const std::uint32_t asked = std::clamp(aRequest.tokens_, 1U, kMaxTokensPerRequest);
-  grant.tokens_ = static_cast<std::uint32_t>(std::min<double>(asked, std::floor(pool.tokens_)));
-  if (grant.tokens_ > 0) {
-    RecordGrant(pool, grant.tokens_, aContext.now_);
+  if (const auto earlier = FindGrant(pool, aTo, aRequest.number_)) {
+    grant.tokens_ = std::min(*earlier, asked);
+  } else {
+    grant.tokens_ = static_cast<std::uint32_t>(std::min<double>(asked, std::floor(pool.tokens_)));
+    pool.tokens_ -= grant.tokens_;
+    pool.recentTokens_ += grant.tokens_;
+    if (grant.tokens_ > 0) {
+      pool.recent_.push_back({ aContext.now_, aTo, aRequest.number_, grant.tokens_ });
+    }
   }
   if (grant.tokens_ < asked) {
     const double rate = quota->second.ratePerSecond_ * ShareOf(bucket);
--- a/packages/policy/QuotaPool.h
+++ b/packages/policy/QuotaPool.h
@@ -1,10 +1,10 @@
 /** \file
  * Pools of tokens of client accounts that this node keeps for all entry nodes.
  *
- * Load pattern: the demand of an account moves between entry nodes within a second. Its quota is kept
- * at one place, so that it is available wherever the demand is. The size of a pool is limited by the
- * share of nodes that contribute to it, so that the pools of all parts of a partition together hold
- * no more than one.
+ * Load pattern: the demand of an account moves between entry nodes within a second. Its quota is
+ * kept at one place, so that it is available wherever the demand is. The size of a pool is limited
+ * by the share of nodes that contribute to it, so that the pools of all parts of a partition
+ * together hold no more than one.
  */
 #pragma once
 
@@ -22,9 +22,8 @@
   Instant lastAt_;
   /** QuotaHandover::nodes_ of its last message. */
   std::uint32_t nodes_ = 1;
-  /** Time that it may still hand over at `lastAt_`, by the clock of this node. A copy of a datagram
-   * or a fast clock adds no tokens. */
-  Duration allowance_{ 0 };
+  /** QuotaHandover::number_ of its last message. */
+  std::uint32_t number_ = 0;
 
   bool operator==(const QuotaContributor&) const = default;
 };
@@ -34,8 +33,8 @@
   std::map<NodeId, QuotaContributor> contributors_;
   /** Sum of all accrued time received, each divided by the number of nodes, seconds. */
   double received_ = 0;
-  /** Estimate of the accrued time that the contributors still hold or that is on the way, divided by
-   * the number of nodes, seconds. */
+  /** Estimate of the accrued time that the contributors still hold or that is on the way, divided
+   * by the number of nodes, seconds. */
   double outstanding_ = 0;
   /** Largest number of nodes that this node or a contributor knows. */
   std::uint32_t nodes_ = 1;
@@ -46,6 +45,8 @@
 struct RecentGrant
 {
   Instant at_;
+  NodeId to_;
+  std::uint64_t number_ = 0;
   std::uint32_t tokens_ = 0;
 
   bool operator==(const RecentGrant&) const = default;
@@ -94,9 +95,13 @@
                 NodeId aFrom,
                 const QuotaHandover& aHandover);
 
-/** Moves tokens out of the pool of the account. */
+/** Moves tokens out of the pool of the account to aTo. A repeated request gets the same grant,
+ * because the first one may have been lost. */
 QuotaGrant
-GrantTokens(QuotaPools& aState, const PoolContext& aContext, const QuotaRequest& aRequest);
+GrantTokens(QuotaPools& aState,
+            const PoolContext& aContext,
+            NodeId aTo,
+            const QuotaRequest& aRequest);
 
 /** Removes contributors that have stopped handing over, limits the pools, and empties them after a
  * pause of the process. Call it every tick. */
--- a/packages/policy/QuotaTokens.cpp
+++ b/packages/policy/QuotaTokens.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Start of each stage of a round, and the end of the last. Several round trips between regions. */
-constexpr Duration kAskAgainAfter = std::chrono::milliseconds(50);
+constexpr Duration kAskAgainAfter = std::chrono::milliseconds(40);
 constexpr Duration kAskSecondAfter = std::chrono::milliseconds(100);
 constexpr Duration kGiveUpAfter = std::chrono::milliseconds(200);
 /** Tokens are asked for this much of the demand. Below their lifetime, so that few expire. */
@@ -19,8 +19,8 @@
 /** A pool that was empty is asked again after this time at the earliest. Bounds the messages of an
  * account that sends many times its quota. */
 constexpr Duration kRefuseTime = std::chrono::milliseconds(40);
-/** Times between which callers come back that no pool node answered. Membership replaces a pool node
- * after about 3 s. */
+/** Times between which callers come back that no pool node answered. Membership replaces a pool
+ * node after about 3 s. */
 constexpr Duration kMinUnavailableRetry = std::chrono::milliseconds(500);
 constexpr Duration kUnavailableRetrySpread = std::chrono::milliseconds(1500);
 
@@ -62,6 +62,8 @@
   return first->expiresAt_;
 }
 
+/** Sends the request of a stage. The first node gets the same request each time, so that the round
+ * takes its tokens once. */
 void
 Ask(QuotaTokens& aState,
     TokenContext& aContext,
@@ -69,13 +71,26 @@
     AccountTokens& aAccount,
     AskStage aStage)
 {
-  const auto demand = static_cast<std::uint32_t>(aAccount.demand_ * kAskedDemandSeconds);
-  const auto waiting = static_cast<std::uint32_t>(aAccount.waiting_.size());
-  const std::uint32_t tokens = std::max({ 1U, demand, waiting });
-  const std::uint64_t number = aState.nextNumber_++;
   aAccount.stage_ = aStage;
-  aAccount.asks_[number] = { aContext.now_, tokens, aStage };
-  aContext.asks_.push_back({ aStage, { number, aName, tokens } });
+  const bool isRepetition = aStage == AskStage::kFirstNodeAgain;
+  if (!isRepetition) {
+    const auto demand = static_cast<std::uint32_t>(aAccount.demand_ * kAskedDemandSeconds);
+    const auto waiting = static_cast<std::uint32_t>(aAccount.waiting_.size());
+    // A pool node may still know numbers of an earlier process.
+    const auto clock = static_cast<std::uint64_t>(aContext.now_.time_since_epoch().count());
+    const std::uint64_t number = std::max(aState.nextNumber_, clock);
+    aState.nextNumber_ = number + 1;
+    const QuotaRequest request{ number, aName, std::max({ 1U, demand, waiting }) };
+    aAccount.asks_[request.number_] = { aContext.now_, request.tokens_ };
+    aContext.asks_.push_back({ aStage, request });
+    if (aStage == AskStage::kFirstNode) {
+      aAccount.firstRequest_ = request;
+    }
+  }
+  if (aStage != AskStage::kFirstNode) {
+    // With 2.5% of datagrams lost, 1 round in 400 would fail if this were sent only twice.
+    aContext.asks_.push_back({ AskStage::kFirstNode, aAccount.firstRequest_ });
+  }
 }
 
 /** Begins a round if requests wait and none is in progress. */
@@ -142,24 +157,16 @@
   aAccount.unavailableAt_ = aContext.now_;
 }
 
-/** The node that was asked keeps no pool of the account. */
+/** The node that was asked keeps no pool of the account: it has just become the pool node, or was
+ * asked because another one did not answer. */
 void
 HandleNoPool(QuotaTokens& aState,
              TokenContext& aContext,
              const std::string& aName,
-             AccountTokens& aAccount,
-             AskStage aAskedAt)
+             AccountTokens& aAccount)
 {
-  if (aAccount.waiting_.empty()) {
-    return;
-  }
-  const bool isFirst = aAskedAt != AskStage::kSecondNode;
-  const bool isInFirst = aAccount.stage_ == AskStage::kFirstNode ||
-                         aAccount.stage_ == AskStage::kFirstNodeAgain;
-  if (isFirst && isInFirst) {
+  if (aAccount.stage_ == AskStage::kFirstNode || aAccount.stage_ == AskStage::kFirstNodeAgain) {
     Ask(aState, aContext, aName, aAccount, AskStage::kSecondNode);
-  } else if (!isFirst && aAccount.stage_ == AskStage::kSecondNode) {
-    RefuseUnavailable(aContext, aAccount);
   }
 }
 
@@ -210,12 +217,12 @@
     return; // Late, or a copy of a datagram.
   }
   const SentAsk ask = asked->second;
-  account.asks_.erase(asked);
   const std::uint32_t granted = std::min(aGrant.tokens_, ask.tokens_);
   if (granted == 0 && aGrant.roomIn_ <= Duration{ 0 }) {
-    HandleNoPool(aState, aContext, found->first, account, ask.stage_);
+    HandleNoPool(aState, aContext, found->first, account);
     return;
   }
+  account.asks_.erase(asked);
   account.unavailableAt_.reset();
   if (granted > 0) {
     account.batches_.push_back({ granted, ask.at_ + aContext.times_.tokenLifetime_ });
--- a/packages/policy/QuotaTokens.h
+++ b/packages/policy/QuotaTokens.h
@@ -2,9 +2,9 @@
  * Tokens of client accounts at the entry node: every request of an account with a quota takes one
  * before it is sent.
  *
- * Load pattern: an account sends more than its quota, at any number of entry nodes. Requests wait for
- * an answer of the pool node, for a bounded time, and each refused request gets a time of its own to
- * come back.
+ * Load pattern: an account sends more than its quota, at any number of entry nodes. Requests wait
+ * for an answer of the pool node, for a bounded time, and each refused request gets a time of its
+ * own to come back.
  */
 #pragma once
 
@@ -34,6 +34,7 @@
   kFirstNode,
   /** The first node again, because a datagram may have been lost. */
   kFirstNodeAgain,
+  /** The second node, and once more the first. */
   kSecondNode,
 };
 
@@ -41,7 +42,6 @@
 {
   Instant at_;
   std::uint32_t tokens_ = 0;
-  AskStage stage_ = AskStage::kNone;
 
   bool operator==(const SentAsk&) const = default;
 };
@@ -53,6 +53,8 @@
   std::deque<CallId> waiting_;
   AskStage stage_ = AskStage::kNone;
   Instant roundStartedAt_;
+  /** The request to the first node in this round. */
+  QuotaRequest firstRequest_;
   /** Asks whose grant may still be used, by number. */
   std::map<std::uint64_t, SentAsk> asks_;
   /** Arrivals per second, averaged over kDemandTime. */
--- a/packages/policy/tests/QuotaSimulation.h
+++ b/packages/policy/tests/QuotaSimulation.h
@@ -1,6 +1,6 @@
 /** \file
- * Simulation of the quota modules of many nodes in virtual time: views of the cluster that change at
- * other times on every node, a network with delay, loss, copies, cuts and freezes, and callers.
+ * Simulation of the quota modules of many nodes in virtual time: views of the cluster that change
+ * at other times on every node, a network with delay, loss, copies, cuts and freezes, and callers.
  */
 #pragma once
 
@@ -37,6 +37,8 @@
     bool running_ = true;
     bool frozen_ = false;
     int part_ = 0;
+    /** Of the limits that it applies. */
+    int version_ = 0;
     std::vector<std::pair<NodeId, GossipBody>> held_;
     /** Nodes that this node believes to be live. */
     std::set<std::size_t> live_;
@@ -66,8 +68,14 @@
   /** Each node applies the limit within aSpread. */
   void ChangeQuota(const std::string& aAccount, double aRate, double aBurst, Duration aSpread)
   {
+    const int version = ++version_;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      Schedule(RandomTime(aSpread), [=, this] { SetQuotaAt(i, aAccount, aRate, aBurst); });
+      Schedule(RandomTime(aSpread), [=, this] {
+        if (nodes_[i].version_ < version) {
+          nodes_[i].version_ = version;
+          SetQuotaAt(i, aAccount, aRate, aBurst);
+        }
+      });
     }
   }
 
@@ -181,8 +189,7 @@
   /** Sends requests of the account at this rate, at random times and random ones of the nodes. */
   void Demand(const std::string& aAccount, double aRate, const std::vector<std::size_t>& aNodes)
   {
-    std::poisson_distribution<int> count(aRate *
-                                         std::chrono::duration<double>(kQuotaStep).count());
+    std::poisson_distribution<int> count(aRate * std::chrono::duration<double>(kQuotaStep).count());
     for (int left = count(random_); left > 0; --left) {
       Request(aNodes[Below(aNodes.size())], aAccount);
     }
@@ -296,9 +303,8 @@
       return;
     }
     ++node.messagesReceived_;
-    Act(aNode, [&](QuotaContext& aContext) {
-      ReceiveQuotaMessage(node.state_, aContext, aFrom, aBody);
-    });
+    Act(aNode,
+        [&](QuotaContext& aContext) { ReceiveQuotaMessage(node.state_, aContext, aFrom, aBody); });
   }
 
   template<typename Step>
@@ -353,6 +359,7 @@
   std::map<std::size_t, std::vector<std::string>> waitingCallers_;
   std::map<CallId, std::string> accountOf_;
   std::uint64_t nextCall_ = 0;
+  int version_ = 0;
 };
 
 } // namespace fulmarway::test
--- a/packages/wire/ControlMembers.h
+++ b/packages/wire/ControlMembers.h
@@ -129,6 +129,30 @@
   aVisit("tickets", aDoc.tickets_);
 }
 
+template<typename Visit>
+void
+VisitMembers(Visit& aVisit, MaybeConst<AccountView> auto& aDoc)
+{
+  aVisit("name", aDoc.name_);
+  aVisit("limitMilli", aDoc.limitMilli_);
+  aVisit("burst", aDoc.burst_);
+  aVisit("demandMilli", aDoc.demandMilli_);
+  aVisit("used", aDoc.used_);
+  aVisit("refused", aDoc.refused_);
+  aVisit("pool", aDoc.pool_);
+  aVisit("contributors", aDoc.contributors_);
+  aVisit("poolNode", aDoc.poolNode_);
+}
+
+template<typename Visit>
+void
+VisitMembers(Visit& aVisit, MaybeConst<AccountsDocument> auto& aDoc)
+{
+  aVisit("nodes", aDoc.nodes_);
+  aVisit("accrues", aDoc.accrues_);
+  aVisit("accounts", aDoc.accounts_);
+}
+
 template<typename Visit>
 void
 VisitMembers(Visit& aVisit, MaybeConst<AuditLine> auto& aDoc)
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -574,7 +574,7 @@
 void
 serialize(Archive& aArchive, QuotaHandover& aValue)
 {
-  aArchive(aValue.bucket_, aValue.nodes_, aValue.accrued_);
+  aArchive(aValue.bucket_, aValue.nodes_, aValue.accrued_, aValue.number_, aValue.previous_);
 }
 
 template<class Archive>
--- a/packages/wire/tests/ControlJsonTest.cpp
+++ b/packages/wire/tests/ControlJsonTest.cpp
@@ -156,6 +156,19 @@
                                   AnyNumber<std::uint32_t>(),
                                   AnyNumber<std::uint32_t>() },
                     ParseLoadDocument);
+    ExpectRoundTrip(
+      AccountsDocument{ AnyNumber<std::uint32_t>(), AnyNumber<bool>(), AnyVector<AccountView>([] {
+                          return AccountView{ *AnyAscii(),
+                                              AnyNumber<std::uint64_t>(),
+                                              AnyNumber<std::uint64_t>(),
+                                              AnyNumber<std::uint64_t>(),
+                                              AnyNumber<std::uint64_t>(),
+                                              AnyNumber<std::uint64_t>(),
+                                              AnyNumber<std::uint64_t>(),
+                                              AnyNumber<std::uint32_t>(),
+                                              *AnyAscii() };
+                        }) },
+      ParseAccountsDocument);
     ExpectRoundTrip(WhyDocument{ *AnyAscii(), AnyVector<RootRequestDecision>([] {
                                   return RootRequestDecision{ AnyNumber<std::uint64_t>(),
                                                               *AnyAscii(),
