--- a/packages/policy/Counters.cpp
+++ b/packages/policy/Counters.cpp
@@ -26,6 +26,10 @@
   "log_append_failures",
   "config_fetches",
   "key_leases_lost",
+  "quota_tokens_used",
+  "quota_tokens_returned",
+  "quota_messages_received",
+  "quota_messages_sent",
 };
 
 } // namespace
