Process repeatable requests of one connection concurrently

Cause: a node read the next request of a connection when the reply to the one before was written, so a slow first request delayed all that the client had sent behind it.

Change: HttpServer keeps up to 8 requests of a connection in progress if all of them are of routes whose requests are repeatable (Node::IsRepeatable), and writes the replies in the order of the requests. Any other request is in progress alone: a client sends the requests behind a reply that closes the connection again, so one that may not be repeated must not have begun there. A reply that closes cancels the requests behind it. Waiting requests and replies count as held bytes and are given up like incomplete requests and unread replies; 1 MiB of them stops the reading of a connection. ReleaseMemory() reports the exchanges that it ends, so its calls in the tests changed; no check did. The product's own interface and the other servers keep one request at a time.

Cost of the route lookup for each request not measured.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -91,12 +91,8 @@
         continue;
       }
       const std::uint64_t id = nextId_++;
-      Connection connection{
-        TcpChannel(socket),         peer.host().toString(),   /* input_ */ {},
-        /* exchange_ */ {},         /* keepAlive_ */ true,    /* closing_ */ false,
-        /* isHeadRequest_ */ false, /* isContinued_ */ false, /* hasInputAhead_ */ false,
-        /* lastUsedAt_ */ aNow
-      };
+      Connection connection{ TcpChannel(socket), peer.host().toString() };
+      connection.lastUsedAt_ = aNow;
       poller_.Add({ settings_.connectionRole_, id }, socket);
       connections_.emplace(id, std::move(connection));
       Recount(id);
@@ -119,16 +115,22 @@
   }
   Connection& connection = found->second;
   connection.lastUsedAt_ = aNow;
-  if (aReady.readable_) {
+  // Further requests beside those in progress are parsed first, so that input does not grow with
+  // what a client sends. At the latest with kMaxRequestsOfConnection in progress it is read and
+  // limited.
+  const bool isParsedFirst =
+    connection.hasInputAhead_ && !connection.exchanges_.empty() && CanReadAhead(connection);
+  if (aReady.readable_ && !isParsedFirst) {
     if (connection.channel_.Read(connection.input_) == ChannelStatus::kClosed) {
       CloseConnection(id, events);
       return events;
     }
-    const bool isBusy =
-      connection.exchange_ || connection.hasInputAhead_ || connection.channel_.PendingBytes() > 0;
-    if (isBusy && connection.input_.size() > limits_.maxHeaderBytes_) {
+    const std::size_t limit =
+      limits_.maxHeaderBytes_ + (IsBodyExpected(connection) ? limits_.maxBodyBytes_ : 0);
+    const bool isBusy = connection.hasInputAhead_ || !CanReadAhead(connection);
+    if (isBusy && connection.input_.size() > limit) {
       // The client keeps sending without waiting for its reply. This input is only buffered until
-      // the reply is written, so it is limited to the size of one head.
+      // the reply is written, so it is limited to the size of one head, or the rest of one body.
       CloseConnection(id, events);
       return events;
     }
@@ -141,12 +143,71 @@
   return events;
 }
 
+std::size_t
+HttpServer::WaitingBytes(const Connection& aConnection)
+{
+  std::size_t bytes = 0;
+  for (const Exchange& exchange : aConnection.exchanges_) {
+    if (const auto& reply = exchange.reply_) {
+      bytes += reply->body_.capacity() + reply->head_.size() * kParsedFieldBytes;
+    }
+  }
+  return bytes;
+}
+
+/** Whether the next request of the connection may be read. */
+bool
+HttpServer::CanReadAhead(const Connection& aConnection)
+{
+  // A client that does not read its replies must not make the node buffer more of them.
+  if (aConnection.closing_ || aConnection.refusal_ || aConnection.waiting_ ||
+      aConnection.channel_.PendingBytes() > 0) {
+    return false;
+  }
+  const auto& exchanges = aConnection.exchanges_;
+  if (exchanges.empty()) {
+    return true;
+  }
+  // All before the last one are repeatable, too.
+  if (!exchanges.back().isRepeatable_ || exchanges.size() >= kMaxRequestsOfConnection) {
+    return false;
+  }
+  std::size_t bytes = WaitingBytes(aConnection);
+  for (const Exchange& exchange : exchanges) {
+    bytes += exchange.reply_ ? 0 : exchange.bodyBytes_;
+  }
+  return bytes < kMaxBytesAhead;
+}
+
+/** Whether the body of a request has begun whose reading was permitted. */
+bool
+HttpServer::IsBodyExpected(const Connection& aConnection)
+{
+  const auto& exchanges = aConnection.exchanges_;
+  return aConnection.progress_.head_ && !aConnection.closing_ &&
+         (exchanges.empty() || !exchanges.back().isAnnounced_);
+}
+
+bool
+HttpServer::IsReceiving(const Connection& aConnection)
+{
+  return aConnection.requestStartedAt_ && !aConnection.waiting_ &&
+         aConnection.channel_.PendingBytes() == 0;
+}
+
 void
 HttpServer::ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents)
 {
   Connection& connection = connections_.at(aId);
-  // A client that does not read its replies must not make the node buffer more of them.
-  if (connection.exchange_ || connection.closing_ || connection.channel_.PendingBytes() > 0) {
+  if (connection.waiting_ && connection.exchanges_.empty() &&
+      connection.channel_.PendingBytes() == 0) {
+    HttpRequestMessage message = std::move(*connection.waiting_);
+    connection.waiting_.reset();
+    const bool isRepeatable = settings_.isRepeatable_(message.head_);
+    Start(aId, connection, std::move(message), isRepeatable, aEvents);
+    return;
+  }
+  if (!CanReadAhead(connection)) {
     return;
   }
   auto parsed = ContinueHttpRequest(
@@ -163,27 +224,47 @@
     AnnounceBody(aId, connection, aEvents);
     return;
   }
-  connection.requestStartedAt_.reset();
-  connection.isContinued_ = false;
   if (connection.input_.empty()) {
     // An idle connection must not keep the memory of its largest request.
     connection.input_.shrink_to_fit();
   }
-  const ExchangeId exchange = OpenExchange(aId, connection, (*parsed)->head_);
-  aEvents.requests_.push_back({ exchange, connection.peer_, std::move(**parsed) });
+  const bool isRepeatable = settings_.isRepeatable_ && settings_.isRepeatable_((*parsed)->head_);
+  if (connection.exchanges_.empty() || isRepeatable) {
+    Start(aId, connection, std::move(**parsed), isRepeatable, aEvents);
+  } else {
+    connection.waiting_ = std::move(**parsed);
+    connection.requestStartedAt_ = connection.requestStartedAt_.value_or(aNow);
+  }
+}
+
+void
+HttpServer::Start(std::uint64_t aId,
+                  Connection& aConnection,
+                  HttpRequestMessage aMessage,
+                  bool aIsRepeatable,
+                  HttpServerEvents& aEvents)
+{
+  aConnection.requestStartedAt_.reset();
+  aConnection.isContinued_ = false;
+  Exchange& exchange = OpenExchange(aId, aConnection, aMessage.head_);
+  // A client that asks for the end of the connection expects no reply to what it sends after that.
+  exchange.isRepeatable_ = aIsRepeatable && exchange.keepAlive_;
+  exchange.bodyBytes_ = aMessage.body_.size();
+  aEvents.requests_.push_back({ exchange.id_, aConnection.peer_, std::move(aMessage) });
+  if (CanReadAhead(aConnection)) {
+    QueueInputAhead(aId, aConnection);
+  }
 }
 
-ExchangeId
+HttpServer::Exchange&
 HttpServer::OpenExchange(std::uint64_t aId,
                          Connection& aConnection,
                          const Poco::Net::HTTPRequest& aHead)
 {
-  const ExchangeId exchange{ nextId_++ };
-  aConnection.exchange_ = exchange;
-  aConnection.keepAlive_ = aHead.getKeepAlive();
-  aConnection.isHeadRequest_ = aHead.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
-  exchanges_.emplace(exchange, aId);
-  return exchange;
+  const ExchangeId id{ nextId_++ };
+  exchanges_.emplace(id, aId);
+  return aConnection.exchanges_.emplace_back(
+    Exchange{ id, aHead.getKeepAlive(), aHead.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD });
 }
 
 std::optional<std::uint64_t>
@@ -195,10 +276,31 @@
   }
   const std::uint64_t id = exchange->second;
   exchanges_.erase(exchange);
-  connections_.at(id).exchange_.reset();
   return id;
 }
 
+void
+HttpServer::DropExchanges(Connection& aConnection, HttpServerEvents& aEvents)
+{
+  for (const Exchange& exchange : aConnection.exchanges_) {
+    if (exchanges_.erase(exchange.id_) > 0) {
+      aEvents.disconnected_.push_back(exchange.id_);
+    }
+  }
+  aConnection.exchanges_.clear();
+}
+
+void
+HttpServer::QueueInputAhead(std::uint64_t aId, Connection& aConnection)
+{
+  const bool hasInput =
+    !aConnection.input_.empty() || aConnection.progress_.head_ || aConnection.waiting_;
+  if (hasInput && !aConnection.hasInputAhead_) {
+    aConnection.hasInputAhead_ = true;
+    inputAhead_.push_back(aId);
+  }
+}
+
 void
 HttpServer::AnnounceBody(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents)
 {
@@ -207,11 +309,16 @@
   if (aConnection.isContinued_ || !head || !ExpectsContinue(*head)) {
     return;
   }
+  if (!aConnection.exchanges_.empty()) {
+    return; // The interim reply would come before the replies to earlier requests.
+  }
   if (!settings_.asksBeforeBody_) {
     Continue(aId, aConnection);
     return;
   }
-  aEvents.announced_.push_back({ OpenExchange(aId, aConnection, *head), aConnection.peer_, *head });
+  Exchange& exchange = OpenExchange(aId, aConnection, *head);
+  exchange.isAnnounced_ = true;
+  aEvents.announced_.push_back({ exchange.id_, aConnection.peer_, *head });
 }
 
 void
@@ -229,7 +336,9 @@
   if (!id) {
     return events;
   }
-  Continue(*id, connections_.at(*id));
+  Connection& connection = connections_.at(*id);
+  connection.exchanges_.clear(); // An announced request is the only one in progress.
+  Continue(*id, connection);
   if (Flush(*id, events)) {
     // A client that does not wait may have sent the rest, for which no event comes.
     ReadRequest(*id, aNow, events);
@@ -246,7 +355,22 @@
   // Replaces the status 400 by that of aInvalid and sets the headers.
   const std::string body = FormatInvalidRequest(aInvalid, head);
   head.setKeepAlive(false);
-  CloseAfter(aId, aConnection, FormatHttp(head, body));
+  RefuseInOrder(aId, aConnection, FormatHttp(head, body));
+}
+
+void
+HttpServer::RefuseInOrder(std::uint64_t aId, Connection& aConnection, std::string aReply)
+{
+  const auto& exchanges = aConnection.exchanges_;
+  if (exchanges.empty() || exchanges.front().isAnnounced_) {
+    CloseAfter(aId, aConnection, std::move(aReply));
+    return;
+  }
+  aConnection.refusal_ = std::move(aReply);
+  aConnection.input_ = {};
+  aConnection.progress_ = {};
+  aConnection.waiting_.reset();
+  aConnection.requestStartedAt_.reset();
 }
 
 void
@@ -256,6 +380,7 @@
   // What has arrived is not parsed any more.
   aConnection.input_ = {};
   aConnection.progress_ = {};
+  aConnection.waiting_.reset();
   Write(aId, aConnection, std::move(aReply));
 }
 
@@ -266,45 +391,77 @@
                   Instant aNow)
 {
   HttpServerEvents events;
-  const auto exchange = CloseExchange(aExchange);
-  if (!exchange) {
+  const auto id = CloseExchange(aExchange);
+  if (!id) {
     return events;
   }
-  const std::uint64_t id = *exchange;
-  Connection& connection = connections_.at(id);
+  Connection& connection = connections_.at(*id);
   connection.lastUsedAt_ = aNow;
-  // Only the head of a request with an announced body has been read.
-  const bool isIncomplete = connection.progress_.head_.has_value();
-  connection.closing_ = !connection.keepAlive_ || !accepting_ || closesAfterReply_ || isIncomplete;
-  aHead.setKeepAlive(!connection.closing_);
+  auto& exchanges = connection.exchanges_;
+  if (exchanges.front().id_ != aExchange) {
+    // Formatted when it is written: only then it is known whether it closes the connection.
+    for (Exchange& exchange : exchanges) {
+      if (exchange.id_ == aExchange) {
+        exchange.reply_ = WaitingReply{ aHead, std::string(aBody) };
+      }
+    }
+    Recount(*id);
+    return events;
+  }
+  WriteReply(*id, connection, aHead, aBody, events);
+  while (!exchanges.empty() && exchanges.front().reply_) {
+    WaitingReply reply = std::move(*exchanges.front().reply_);
+    WriteReply(*id, connection, reply.head_, reply.body_, events);
+  }
+  if (exchanges.empty() && connection.refusal_) {
+    CloseAfter(*id, connection, std::move(*connection.refusal_));
+  }
+  if (Flush(*id, events)) {
+    QueueInputAhead(*id, connection);
+  }
+  Recount(*id);
+  return events;
+}
+
+void
+HttpServer::WriteReply(std::uint64_t aId,
+                       Connection& aConnection,
+                       HttpResponseHead& aHead,
+                       std::string_view aBody,
+                       HttpServerEvents& aEvents)
+{
+  const Exchange& exchange = aConnection.exchanges_.front();
+  // Of a request with an announced body only the head has been read.
+  const bool isLast =
+    !exchange.keepAlive_ || !accepting_ || closesAfterReply_ || exchange.isAnnounced_;
+  aHead.setKeepAlive(!isLast);
   std::string bytes =
-    connection.isHeadRequest_ && aBody.empty() ? FormatHttpHead(aHead) : FormatHttp(aHead, aBody);
-  if (connection.isHeadRequest_) {
+    exchange.isHeadRequest_ && aBody.empty() ? FormatHttpHead(aHead) : FormatHttp(aHead, aBody);
+  if (exchange.isHeadRequest_) {
     // The client would parse the body as the start of the next reply.
     bytes.resize(bytes.size() - aBody.size());
   }
-  if (isIncomplete) {
-    CloseAfter(id, connection, std::move(bytes));
-  } else {
-    Write(id, connection, std::move(bytes));
-  }
-  if (Flush(id, events) && !connection.input_.empty()) {
-    connection.hasInputAhead_ = true;
-    repliedWithInput_.push_back(id);
+  aConnection.exchanges_.erase(aConnection.exchanges_.begin());
+  if (!isLast) {
+    Write(aId, aConnection, std::move(bytes));
+    return;
   }
-  Recount(id);
-  return events;
+  // The client takes the requests behind this reply as not read and sends them again.
+  DropExchanges(aConnection, aEvents);
+  aConnection.refusal_.reset();
+  aConnection.requestStartedAt_.reset();
+  CloseAfter(aId, aConnection, std::move(bytes));
 }
 
 HttpServerEvents
 HttpServer::ReadRequestSentAhead(Instant aNow)
 {
   HttpServerEvents events;
-  if (repliedWithInput_.empty()) {
+  if (inputAhead_.empty()) {
     return events;
   }
-  const std::uint64_t id = repliedWithInput_.front();
-  repliedWithInput_.pop_front();
+  const std::uint64_t id = inputAhead_.front();
+  inputAhead_.pop_front();
   const auto found = connections_.find(id);
   if (found != connections_.end()) {
     found->second.hasInputAhead_ = false;
@@ -325,9 +482,14 @@
   Connection& connection = found->second;
   heldBytes_ -= connection.heldBytes_;
   const auto& head = connection.progress_.head_;
-  connection.heldBytes_ = sizeof(Connection) + connection.input_.capacity() +
-                          connection.progress_.body_.capacity() + connection.channel_.HeldBytes() +
-                          (head ? head->size() * kParsedFieldBytes : 0);
+  connection.heldBytes_ =
+    sizeof(Connection) + connection.input_.capacity() + connection.progress_.body_.capacity() +
+    connection.channel_.HeldBytes() + (head ? head->size() * kParsedFieldBytes : 0) +
+    connection.exchanges_.capacity() * sizeof(Exchange) + WaitingBytes(connection) +
+    (connection.refusal_ ? connection.refusal_->capacity() : 0);
+  if (const auto& waiting = connection.waiting_) {
+    connection.heldBytes_ += waiting->body_.capacity() + waiting->head_.size() * kParsedFieldBytes;
+  }
   heldBytes_ += connection.heldBytes_;
 }
 
@@ -337,8 +499,10 @@
   auto silent = connections_.end();
   for (auto next = connections_.begin(); next != connections_.end(); ++next) {
     const Connection& connection = next->second;
+    const bool isAlone =
+      connection.exchanges_.empty() || connection.exchanges_.front().isAnnounced_;
     const bool isSilent =
-      connection.requestStartedAt_ && aNow >= connection.lastUsedAt_ + kSilenceBeforeEviction;
+      isAlone && IsReceiving(connection) && aNow >= connection.lastUsedAt_ + kSilenceBeforeEviction;
     if (isSilent &&
         (silent == connections_.end() || connection.lastUsedAt_ < silent->second.lastUsedAt_)) {
       silent = next;
@@ -354,8 +518,18 @@
 void
 HttpServer::RefuseIncomplete(std::uint64_t aId)
 {
-  HttpServerEvents ignored; // An incomplete request has no exchange.
-  CloseAfter(aId, connections_.at(aId), std::string(kRefusal));
+  Connection& connection = connections_.at(aId);
+  const auto& exchanges = connection.exchanges_;
+  const bool isBehindReplies = connection.channel_.PendingBytes() > 0 ||
+                               (!exchanges.empty() && !exchanges.front().isAnnounced_);
+  RefuseInOrder(aId, connection, std::string(kRefusal));
+  if (isBehindReplies) {
+    connection.requestStartedAt_.reset();
+    Recount(aId);
+    return;
+  }
+  // The request has no exchange, or its owner only decides about its body.
+  HttpServerEvents ignored;
   if (Flush(aId, ignored)) {
     // The reply does not fit into the buffer of the socket. Waiting for the client would keep its
     // slot.
@@ -364,28 +538,29 @@
 }
 
 bool
-HttpServer::ReleaseMemory(Instant aNow, ReleaseScope aScope)
+HttpServer::ReleaseMemory(Instant aNow, ReleaseScope aScope, HttpServerEvents& aEvents)
 {
-  return ReleaseMessage(aNow, kLongMessageBytes) ||
-         (aScope == ReleaseScope::kAllMessages && ReleaseMessage(aNow, 1));
+  return ReleaseMessage(aNow, kLongMessageBytes, aEvents) ||
+         (aScope == ReleaseScope::kAllMessages && ReleaseMessage(aNow, 1, aEvents));
 }
 
 bool
-HttpServer::ReleaseMessage(Instant aNow, std::size_t aMinBytes)
+HttpServer::ReleaseMessage(Instant aNow, std::size_t aMinBytes, HttpServerEvents& aEvents)
 {
   auto incomplete = connections_.end();
   auto unread = connections_.end();
+  std::size_t unreadBytes = 0;
   for (auto next = connections_.begin(); next != connections_.end(); ++next) {
     const Connection& connection = next->second;
-    const std::size_t pending = connection.channel_.PendingBytes();
+    const std::size_t pending = connection.channel_.PendingBytes() + WaitingBytes(connection);
     if (connection.requestStartedAt_ && connection.heldBytes_ >= aMinBytes &&
         (incomplete == connections_.end() ||
          *connection.requestStartedAt_ < *incomplete->second.requestStartedAt_)) {
       incomplete = next;
     }
-    if (pending >= aMinBytes &&
-        (unread == connections_.end() || pending > unread->second.channel_.PendingBytes())) {
+    if (pending >= aMinBytes && pending > unreadBytes) {
       unread = next;
+      unreadBytes = pending;
     }
   }
   if (incomplete != connections_.end()) {
@@ -399,8 +574,7 @@
     return false;
   }
   spdlog::warn("event=unread_reply_dropped held_bytes={}", unread->second.heldBytes_);
-  HttpServerEvents ignored; // Its exchange ended with the reply.
-  CloseConnection(unread->first, ignored);
+  CloseConnection(unread->first, aEvents);
   return true;
 }
 
@@ -429,10 +603,7 @@
 HttpServer::CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents)
 {
   const auto found = connections_.find(aId);
-  if (const auto& exchange = found->second.exchange_) {
-    aEvents.disconnected_.push_back(*exchange);
-    exchanges_.erase(*exchange);
-  }
+  DropExchanges(found->second, aEvents);
   heldBytes_ -= found->second.heldBytes_;
   poller_.Remove({ settings_.connectionRole_, aId });
   found->second.channel_.Close();
@@ -452,7 +623,7 @@
 bool
 HttpServer::IsHeadOverdue(const Connection& aConnection, Instant aNow) const
 {
-  return aConnection.requestStartedAt_ && !aConnection.closing_ &&
+  return IsReceiving(aConnection) && !aConnection.closing_ &&
          aNow >= *aConnection.requestStartedAt_ + limits_.headerTimeout_ &&
          !aConnection.progress_.head_;
 }
@@ -463,7 +634,7 @@
   std::vector<std::uint64_t> idle;
   std::vector<std::uint64_t> overdue;
   for (const auto& [id, connection] : connections_) {
-    if (connection.exchange_) {
+    if (!connection.exchanges_.empty()) {
       continue;
     }
     if (IsHeadOverdue(connection, aNow)) {
@@ -473,7 +644,7 @@
     // Includes a connection with a partly received request, of which nothing was executed.
     const bool hasNoReplyAtStop = !accepting_ && connection.channel_.PendingBytes() == 0;
     const bool isTooSlow =
-      connection.requestStartedAt_ && aNow >= *connection.requestStartedAt_ + kRequestTimeout;
+      IsReceiving(connection) && aNow >= *connection.requestStartedAt_ + kRequestTimeout;
     if (hasNoReplyAtStop || isTooSlow || aNow >= connection.lastUsedAt_ + limits_.idleTimeout_) {
       idle.push_back(id);
     }
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -1,5 +1,7 @@
 /** \file
- * A non-blocking HTTP/1.1 server that processes one request at a time on each connection.
+ * A non-blocking HTTP/1.1 server. Replies on a connection have the order of its requests. Requests
+ * that a client sends before the reply to an earlier one are processed beside it if all of them are
+ * repeatable, so that a slow one does not delay the others; otherwise one at a time.
  */
 #pragma once
 
@@ -12,6 +14,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -30,8 +33,18 @@
   /** Whether the owner decides about announced bodies by PermitBody() or Reply(). Otherwise each is
    * permitted at once. */
   bool asksBeforeBody_ = false;
+  /** Whether a request may run again after it was cut off. Several such requests of a connection
+   * are in progress at once: when an earlier reply closes the connection, the client sends them
+   * again. If not set, no request counts as repeatable. */
+  std::function<bool(const Poco::Net::HTTPRequest& aHead)> isRepeatable_ = {};
 };
 
+/** Requests of one connection in progress at once. */
+inline constexpr std::size_t kMaxRequestsOfConnection = 8;
+/** No further request of a connection is read while the bodies of those in progress and the replies
+ * that wait for an earlier one hold this much: a quarter of the longest body. */
+inline constexpr std::size_t kMaxBytesAhead = 1U << 20;
+
 /** Upper bound of CallerLimits::maxHeaderBytes_: a request with headers of this size still fits
  * into the frame that forwards it to another node. */
 inline constexpr std::size_t kMaxHeaderLimitBytes = 32U << 10;
@@ -90,8 +103,8 @@
                          std::string_view aBody,
                          Instant aNow);
 
-  /** Connections that were replied to and may hold a request that was sent ahead. */
-  std::size_t ConnectionsWithInputAhead() const { return repliedWithInput_.size(); }
+  /** Connections that may hold a request that was sent ahead. */
+  std::size_t ConnectionsWithInputAhead() const { return inputAhead_.size(); }
 
   /** Reads the next request of the connection that has waited for this the longest. Call it once
    * for each of ConnectionsWithInputAhead() before other input is read, so that a client that sends
@@ -124,8 +137,9 @@
 
   /** Frees memory at the cost of one connection: refuses the request that has been incomplete for
    * the longest time, or closes the connection with the longest unread reply. Returns whether there
-   * was one. Requests that were passed on are not affected. */
-  bool ReleaseMemory(Instant aNow, ReleaseScope aScope);
+   * was one. Requests that were passed on are affected only if they share the connection with that
+   * reply. */
+  bool ReleaseMemory(Instant aNow, ReleaseScope aScope, HttpServerEvents& aEvents);
 
   std::size_t ConnectionCount() const { return connections_.size(); }
 
@@ -133,47 +147,92 @@
   bool HasPendingOutput() const;
 
 private:
+  struct WaitingReply
+  {
+    HttpResponseHead head_;
+    std::string body_;
+  };
+
+  /** A request that was passed on, and its reply while that to an earlier request is missing. */
+  struct Exchange
+  {
+    ExchangeId id_;
+    bool keepAlive_ = true;
+    /** The reply has no body. */
+    bool isHeadRequest_ = false;
+    bool isRepeatable_ = false;
+    /** Only the head was passed on, for a decision about the body. */
+    bool isAnnounced_ = false;
+    std::size_t bodyBytes_ = 0;
+    std::optional<WaitingReply> reply_ = {};
+  };
+
   struct Connection
   {
     TcpChannel channel_;
     std::string peer_;
-    std::string input_;
-    std::optional<ExchangeId> exchange_;
-    bool keepAlive_ = true;
+    std::string input_ = {};
+    /** In the order of the requests. */
+    std::vector<Exchange> exchanges_ = {};
+    /** A complete request that is passed on when no other is in progress, since it or one of those
+     * in progress is not repeatable. */
+    std::optional<HttpRequestMessage> waiting_ = {};
+    /** Refusal of the request after those in progress; the connection is closed after it. */
+    std::optional<std::string> refusal_ = {};
     bool closing_ = false;
-    /** The current request is HEAD, so its reply has no body. */
-    bool isHeadRequest_ = false;
     /** The client of the incomplete request was told to send its body. */
     bool isContinued_ = false;
-    /** The last reply left input that is still to be parsed by ReadRequestSentAhead(). */
+    /** There is input that is still to be parsed by ReadRequestSentAhead(). */
     bool hasInputAhead_ = false;
-    Instant lastUsedAt_;
-    /** When the first byte of an incomplete request was received. */
+    Instant lastUsedAt_ = {};
+    /** When the first byte of an incomplete or waiting request was received. */
     std::optional<Instant> requestStartedAt_ = {};
     RequestProgress progress_ = {};
     /** Part of heldBytes_. */
     std::size_t heldBytes_ = 0;
   };
 
-  /** Parses the next request once the previous reply is completely written. */
+  static std::size_t WaitingBytes(const Connection& aConnection);
+  static bool CanReadAhead(const Connection& aConnection);
+  static bool IsBodyExpected(const Connection& aConnection);
+  /** Whether the client is due to send the rest of a request, and nothing delays its reading. */
+  static bool IsReceiving(const Connection& aConnection);
+  /** Parses the next request once the replies before it are completely written. */
   void ReadRequest(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
   /** Handles the incomplete request of a client that waits before it sends the body. */
   void AnnounceBody(std::uint64_t aId, Connection& aConnection, HttpServerEvents& aEvents);
   /** Tells the client to go on. */
   void Continue(std::uint64_t aId, Connection& aConnection);
+  /** Passes the request on. */
+  void Start(std::uint64_t aId,
+             Connection& aConnection,
+             HttpRequestMessage aMessage,
+             bool aIsRepeatable,
+             HttpServerEvents& aEvents);
   /** A new exchange of the request that is read from the connection. */
-  ExchangeId OpenExchange(std::uint64_t aId,
-                          Connection& aConnection,
-                          const Poco::Net::HTTPRequest& aHead);
+  Exchange& OpenExchange(std::uint64_t aId,
+                         Connection& aConnection,
+                         const Poco::Net::HTTPRequest& aHead);
   /** Ends the exchange. Returns its connection; nullopt if that was closed. */
   std::optional<std::uint64_t> CloseExchange(ExchangeId aExchange);
+  /** Ends all exchanges of the connection; those without a reply are reported as disconnected. */
+  void DropExchanges(Connection& aConnection, HttpServerEvents& aEvents);
+  /** Writes the reply to the first exchange of the connection and removes that. */
+  void WriteReply(std::uint64_t aId,
+                  Connection& aConnection,
+                  HttpResponseHead& aHead,
+                  std::string_view aBody,
+                  HttpServerEvents& aEvents);
+  /** Lets ReadRequestSentAhead() read the connection if there is something to read. */
+  void QueueInputAhead(std::uint64_t aId, Connection& aConnection);
   void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
   void CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents);
   /** Updates the memory of the connection, if it is still open. */
   void Recount(std::uint64_t aId);
   /** ReleaseMemory() of messages that hold aMinBytes or more. */
-  bool ReleaseMessage(Instant aNow, std::size_t aMinBytes);
-  /** Replies "not run" to an incomplete request and closes its connection. */
+  bool ReleaseMessage(Instant aNow, std::size_t aMinBytes, HttpServerEvents& aEvents);
+  /** Replies "not run" to an incomplete or waiting request and closes its connection, after the
+   * replies before it. */
   void RefuseIncomplete(std::uint64_t aId);
   /** Makes room for another connection by one that has been silent within a request. Returns
    * whether there was one. */
@@ -187,6 +246,8 @@
   /** Sends the reply, drops what has arrived, and closes the connection once the reply is written.
    */
   void CloseAfter(std::uint64_t aId, Connection& aConnection, std::string aReply);
+  /** CloseAfter() the replies to the requests in progress. */
+  void RefuseInOrder(std::uint64_t aId, Connection& aConnection, std::string aReply);
 
   HttpServerSettings settings_;
   CallerLimits limits_;
@@ -197,9 +258,8 @@
   std::uint64_t nextId_ = 1;
   std::unordered_map<std::uint64_t, Connection> connections_;
   std::unordered_map<ExchangeId, std::uint64_t> exchanges_;
-  /** Connections that may hold a request that was sent ahead of the last reply; some may be closed.
-   */
-  std::deque<std::uint64_t> repliedWithInput_;
+  /** Connections that may hold a request that was sent ahead; some may be closed. */
+  std::deque<std::uint64_t> inputAhead_;
   std::size_t heldBytes_ = 0;
 };
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -3,6 +3,7 @@
 #include "logservice/LogProtocol.h"
 #include "policy/Lifecycle.h"
 #include "policy/RequestMemory.h"
+#include "policy/RouteTable.h"
 #include "wire/Frame.h"
 #include "wire/HttpMapping.h"
 
@@ -89,7 +90,8 @@
                SocketRole::kCallerConnection,
                aSettings.maxConnections_,
                kMaxBodyBytes,
-               true },
+               true,
+               [this](const Poco::Net::HTTPRequest& aHead) { return IsRepeatable(aHead); } },
              poller_)
   , admin_({ aSettings.adminListen_,
              SocketRole::kAdminListener,
@@ -354,6 +356,14 @@
   }
 }
 
+bool
+Node::IsRepeatable(const Poco::Net::HTTPRequest& aHead) const
+{
+  const RouteSpec* route =
+    FindRoute(ConfigOf(state_), aHead.get(Poco::Net::HTTPRequest::HOST, ""), aHead.getURI());
+  return route != nullptr && route->kind_.idempotent_;
+}
+
 std::optional<CallerRequest>
 Node::ParseCallerRequest(ExchangeId aExchange,
                          const std::string& aPeer,
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -82,6 +82,9 @@
   /** Reads at most one request that was sent ahead of each connection. */
   void ReadRequestsSentAhead();
   void HandleCallerEvents(HttpServerEvents aEvents);
+  /** Whether a caller's request is of a route whose requests may be sent again after any outcome.
+   */
+  bool IsRepeatable(const Poco::Net::HTTPRequest& aHead) const;
   /** Replies to a request that is invalid. */
   std::optional<CallerRequest> ParseCallerRequest(ExchangeId aExchange,
                                                   const std::string& aPeer,
--- a/packages/node/NodeMemory.cpp
+++ b/packages/node/NodeMemory.cpp
@@ -27,9 +27,11 @@
   while (Sum(held_) > settings_.maxHeldBytes_) {
     // Short messages are given up only where they make up most of what is held.
     const auto scope = held_.callers_ > settings_.maxHeldBytes_ / 2 ? kAllMessages : kLongMessages;
-    if (!callers_.ReleaseMemory(now_, scope)) {
+    HttpServerEvents events;
+    if (!callers_.ReleaseMemory(now_, scope, events)) {
       return;
     }
+    HandleCallerEvents(std::move(events));
     ++counters_.releasedConnections_;
     held_.callers_ = callers_.HeldBytes();
   }
--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -6,6 +6,7 @@
 #include "Loopback.h"
 
 #include <criterion/criterion.h>
+#include <random>
 
 using namespace fulmarway;
 using namespace std::chrono_literals;
@@ -16,19 +17,22 @@
 
 constexpr std::size_t kMaxBody = 1000;
 const std::string kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string kOnce = "POST /once HTTP/1.1\r\nContent-Length: 2\r\n\r\nb";
 
 class Server
 {
 public:
   explicit Server(std::size_t aMaxConnections = 10,
                   std::size_t aMaxBody = kMaxBody,
-                  bool aAsksBeforeBody = false)
+                  bool aAsksBeforeBody = false,
+                  std::function<bool(const Poco::Net::HTTPRequest&)> aIsRepeatable = {})
     : server_({ Poco::Net::SocketAddress("127.0.0.1:0"),
                 SocketRole::kCallerListener,
                 SocketRole::kCallerConnection,
                 aMaxConnections,
                 aMaxBody,
-                aAsksBeforeBody },
+                aAsksBeforeBody,
+                std::move(aIsRepeatable) },
               poller_)
     , address_(server_.Address())
   {
@@ -84,6 +88,14 @@
     Record(server_.Reply(requests_.at(aRequest).exchange_, head, aBody, now_));
   }
 
+  bool Release(HttpServer::ReleaseScope aScope)
+  {
+    HttpServerEvents events;
+    const bool isReleased = server_.ReleaseMemory(now_, aScope, events);
+    Record(std::move(events));
+    return isReleased;
+  }
+
   void Record(HttpServerEvents aEvents)
   {
     for (ArrivedRequest& request : aEvents.requests_) {
@@ -107,6 +119,13 @@
   std::uint64_t invalid_ = 0;
 };
 
+/** All but kOnce are repeatable. */
+bool
+IsRepeatable(const Poco::Net::HTTPRequest& aHead)
+{
+  return aHead.getURI() != "/once";
+}
+
 } // namespace
 
 Test(http_server, keep_alive_carries_several_requests)
@@ -165,12 +184,11 @@
   cr_assert(server.RunUntilConnections(4));
   server.Settle();
   for (std::size_t i = 0; i < crowd.size(); ++i) {
-    cr_assert(server.server_.ReleaseMemory(server.now_, kLongMessages));
+    cr_assert(server.Release(kLongMessages));
     cr_expect(server.RunUntil([&] { return crowd[i].Has("503") && crowd[i].Has("not-run"); }));
     cr_expect_lt(server.server_.HeldBytes(), 2 * kLongBody * (crowd.size() - i));
   }
-  cr_expect_not(server.server_.ReleaseMemory(server.now_, kLongMessages),
-                "short requests are kept");
+  cr_expect_not(server.Release(kLongMessages), "short requests are kept");
   ordinary.Send("b");
   cr_assert(server.RunUntilRequests(1));
   server.Reply(0, "answer");
@@ -229,10 +247,10 @@
   ordinary.Send(kGet);
   cr_assert(server.RunUntilRequests(1));
   for (LoopbackPeer& oldest : crowd) {
-    cr_assert(server.server_.ReleaseMemory(server.now_, kAllMessages));
+    cr_assert(server.Release(kAllMessages));
     cr_expect(server.RunUntil([&] { return oldest.Has("503") && oldest.Has("not-run"); }));
   }
-  cr_expect_not(server.server_.ReleaseMemory(server.now_, kAllMessages), "a request was passed on");
+  cr_expect_not(server.Release(kAllMessages), "a request was passed on");
   server.Reply(0, "answer");
   cr_expect(server.RunUntil([&] { return ordinary.Has("answer"); }));
 }
@@ -287,6 +305,167 @@
   cr_expect(client.received_.find("answer1") < client.received_.find("answer2"));
 }
 
+/** Guards against a slow first request that delays those behind it, against replies out of order,
+ * and against a client that has any number of requests in progress. */
+Test(http_server, repeatable_requests_of_a_connection_are_processed_concurrently)
+{
+  Server server(10, kMaxBody, false, IsRepeatable);
+  LoopbackPeer client(server.address_);
+  for (int i = 0; i < 10; ++i) {
+    client.Send(kGet);
+  }
+  cr_assert(server.RunUntilRequests(kMaxRequestsOfConnection));
+  server.Settle();
+  cr_assert_eq(server.requests_.size(), kMaxRequestsOfConnection);
+  const std::size_t held = server.server_.HeldBytes();
+  const std::string body(kMaxBody, 'x');
+  for (std::size_t i = 1; i < kMaxRequestsOfConnection; ++i) {
+    server.Reply(i, body + std::to_string(i) + ";");
+  }
+  server.Settle();
+  cr_expect(client.received_.empty() && server.requests_.size() == kMaxRequestsOfConnection);
+  cr_expect_geq(server.server_.HeldBytes(), held + 7 * kMaxBody, "replies that wait are counted");
+  server.Reply(0, "0;");
+  cr_assert(server.RunUntil([&] { return client.Has("x7;"); }));
+  cr_assert(server.RunUntilRequests(10));
+  std::size_t last = client.received_.find("\n0;");
+  for (int i = 1; i < 8; ++i) {
+    const std::size_t next = client.received_.find("x" + std::to_string(i) + ";");
+    cr_expect(next != std::string::npos && last < next);
+    last = next;
+  }
+}
+
+/** Guards against a request that runs twice because it was in progress behind a reply that closed
+ * the connection, after which the client sends it again. */
+Test(http_server, request_that_is_not_repeatable_is_in_progress_alone)
+{
+  const struct
+  {
+    std::string sent_;
+    /** Requests in progress at the start, and after each reply in their order. */
+    std::vector<std::size_t> inProgress_;
+  } cases[] = {
+    { kGet + kGet + kOnce + "x" + kGet, { 2, 1, 1, 1, 0 } },
+    { kOnce + "x" + kGet + kGet, { 1, 2, 1, 0 } },
+    { kOnce + "x" + kOnce + "x", { 1, 1, 0 } },
+    { "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n" + kGet, { 1, 0 } },
+  };
+  for (const auto& row : cases) {
+    Server server(10, kMaxBody, false, IsRepeatable);
+    LoopbackPeer client(server.address_);
+    client.Send(row.sent_);
+    cr_assert(server.RunUntilRequests(1));
+    for (std::size_t replies = 0; replies < row.inProgress_.size(); ++replies) {
+      server.Settle();
+      cr_expect_eq(server.requests_.size(),
+                   replies + row.inProgress_[replies],
+                   "%zu replies of %s",
+                   replies,
+                   row.sent_.c_str());
+      if (replies < server.requests_.size()) {
+        server.Reply(replies, "answer");
+      }
+    }
+  }
+}
+
+/** Guards against replies behind one that closes the connection, and against requests that go on
+ * running although the client sends them again. */
+Test(http_server, reply_that_closes_ends_the_requests_behind_it)
+{
+  for (const bool isStopped : { true, false }) {
+    Server server(10, kMaxBody, false, IsRepeatable);
+    LoopbackPeer client(server.address_);
+    client.Send(kGet + kGet + kGet + (isStopped ? kOnce + "x" : "invalid\r\n\r\n"));
+    cr_assert(server.RunUntilRequests(3));
+    server.Settle();
+    server.Reply(1, "second");
+    if (isStopped) {
+      server.server_.CloseAfterReplies();
+    }
+    server.Reply(0, "first");
+    if (!isStopped) {
+      cr_expect_not(client.IsClosed());
+      server.Reply(2, "third");
+    }
+    cr_assert(server.RunUntil([&] { return client.IsClosed(); }));
+    cr_expect_eq(client.Has("second"), !isStopped);
+    cr_expect_eq(client.Has("400"), !isStopped, "the refusal has its place");
+    cr_expect_eq(server.requests_.size(), 3U);
+    cr_expect_eq(server.disconnected_.size(), isStopped ? 1U : 0U);
+  }
+}
+
+/** Guards against memory of waiting requests and replies that nothing gives back. */
+Test(http_server, memory_of_requests_sent_ahead_is_bounded_and_released)
+{
+  Server server(10, kMaxBodyBytes, false, IsRepeatable);
+  LoopbackPeer client(server.address_);
+  client.Send(kGet + kGet + kGet + kGet + kOnce + "x");
+  cr_assert(server.RunUntilRequests(4));
+  server.Settle();
+  server.Reply(1, std::string(kMaxBytesAhead, 'x'));
+  cr_assert(server.Release(kAllMessages));
+  cr_expect(server.disconnected_.empty(), "the request that waits is refused first");
+  client.Send(kGet);
+  server.Settle();
+  cr_expect_eq(server.requests_.size(), 4U);
+  cr_assert(server.Release(kLongMessages));
+  cr_expect_eq(server.disconnected_.size(), 3U, "those without a reply");
+  cr_expect_eq(server.server_.HeldBytes(), 0U);
+  server.Reply(0, "late");
+
+  LoopbackPeer other(server.address_);
+  other.Send(kGet + kGet + kGet);
+  cr_assert(server.RunUntilRequests(7));
+  server.Reply(5, std::string(kMaxBytesAhead, 'x'));
+  other.Send(kGet);
+  server.Settle();
+  cr_expect_eq(server.requests_.size(), 7U, "the reply that waits leaves no room");
+  server.Reply(4, "first");
+  cr_assert(server.RunUntil([&] {
+    other.Read();
+    return server.requests_.size() == 8;
+  }));
+}
+
+/** Guards against replies out of order and lost requests, for any order of the replies and any
+ * mix of requests. */
+Test(http_server, replies_keep_the_order_of_requests)
+{
+  std::mt19937 random(20261207); // NOLINT: the same cases in every run.
+  for (int run = 0; run < 50; ++run) {
+    Server server(10, kMaxBody, false, IsRepeatable);
+    LoopbackPeer client(server.address_);
+    constexpr std::size_t kRequests = 30;
+    std::string expected;
+    for (std::size_t i = 0; i < kRequests; ++i) {
+      client.Send(random() % 4 == 0 ? kOnce + "x" : kGet);
+      expected += "<" + std::to_string(i) + ">";
+    }
+    std::vector<std::size_t> open;
+    for (std::size_t seen = 0; seen < kRequests || !open.empty();) {
+      cr_assert(server.RunUntil([&] { return server.requests_.size() > seen || !open.empty(); }));
+      server.PollOnce();
+      for (; seen < server.requests_.size(); ++seen) {
+        open.push_back(seen);
+      }
+      cr_assert_leq(open.size(), kMaxRequestsOfConnection);
+      const std::size_t next = random() % open.size();
+      server.Reply(open[next], "<" + std::to_string(open[next]) + ">");
+      open.erase(open.begin() + static_cast<std::ptrdiff_t>(next));
+    }
+    cr_assert(server.RunUntil([&] { return client.Has("<29>"); }));
+    std::string bodies;
+    for (std::size_t at = client.received_.find('<'); at != std::string::npos;
+         at = client.received_.find('<', at + 1)) {
+      bodies += client.received_.substr(at, client.received_.find('>', at) + 1 - at);
+    }
+    cr_assert_str_eq(bodies.c_str(), expected.c_str());
+  }
+}
+
 Test(http_server, refused_requests)
 {
   const struct
