--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -34,6 +34,7 @@
   "invalid_reports_total",
   "invalid_answers_total",
   "invalid_requests_total",
+  "key_leases_lost_total",
   "log_append_failures_total",
   "log_appends_total",
   "log_read_failures_total",
@@ -51,9 +52,10 @@
 const std::set<std::string> kGauges = {
   "admission_level",    "backend_healthy",   "backend_rate_limit",
   "caller_connections", "concurrency_limit", "config_version",
-  "held_bytes",         "log_reachable",     "members",
-  "outbound_calls",     "queued_requests",   "running_requests",
-  "store_era",          "store_reachable",   "tickets",
+  "held_bytes",         "key_lease_held",    "key_lease_since_seconds",
+  "log_reachable",      "members",           "outbound_calls",
+  "queued_requests",    "running_requests",  "store_era",
+  "store_reachable",    "tickets",
 };
 
 struct Scrape
@@ -148,6 +150,24 @@
   }
 }
 
+/** Guards against a lease that is shown as missing where none is needed, and against a time that is
+ * shown for a lease that has ended. */
+Test(metrics, key_lease_is_shown_where_it_is_needed)
+{
+  NodeState state = MakeTestState();
+  const auto read = [&](const char* aName) {
+    return std::stod(Read(RenderMetrics(state, {})).values_.at(aName));
+  };
+  cr_expect_eq(read("key_lease_held"), 1);
+  cr_expect_eq(read("key_lease_since_seconds"), 0);
+  state.settings_.keyRemovalBound_ = std::chrono::seconds(5);
+  state.log_.state_.config_.accounts_.emplace();
+  cr_expect_eq(read("key_lease_held"), 0);
+  state.keyLease_ = { Instant{ std::chrono::seconds(1) }, true, 1'796'000'000'500 };
+  cr_expect_eq(read("key_lease_held"), 1);
+  cr_expect_eq(read("key_lease_since_seconds"), 1'796'000'000.5);
+}
+
 /** A large value in exponent form or rounded to six digits would hide a slow change. */
 Test(metrics, large_counters_keep_their_digits)
 {
--- a/packages/policy/RequestLog.cpp
+++ b/packages/policy/RequestLog.cpp
@@ -32,14 +32,19 @@
 Fields
 FieldsOf(const OutboundCall& aCall, Instant aNow)
 {
-  return { { "request", aCall.origin_.rootRequestId_.value_or("") },
-           { "click", aCall.request_.rootRequestId_ },
-           { "service", aCall.request_.service_ },
-           { "kind", aCall.request_.kind_ },
-           { "importance", std::string(ToString(aCall.request_.importance_)) },
-           { "attempts", std::to_string(aCall.triedNodes_.size()) },
-           { "elapsed_ms", FormatMilliseconds(aNow - aCall.startedAt_) },
-           { "left_ms", FormatMilliseconds(aCall.deadline_ - aNow) } };
+  Fields fields{ { "request", aCall.origin_.rootRequestId_.value_or("") },
+                 { "click", aCall.request_.rootRequestId_ },
+                 { "service", aCall.request_.service_ },
+                 { "kind", aCall.request_.kind_ },
+                 { "importance", std::string(ToString(aCall.request_.importance_)) },
+                 { "attempts", std::to_string(aCall.triedNodes_.size()) },
+                 { "elapsed_ms", FormatMilliseconds(aNow - aCall.startedAt_) },
+                 { "left_ms", FormatMilliseconds(aCall.deadline_ - aNow) } };
+  const auto& routed = aCall.request_.routed_;
+  if (routed && !routed->account_.empty()) {
+    fields.emplace_back("account", routed->account_);
+  }
+  return fields;
 }
 
 Fields
--- a/packages/policy/tests/StoreSyncTest.cpp
+++ b/packages/policy/tests/StoreSyncTest.cpp
@@ -144,3 +144,43 @@
   cr_expect_geq(calls - before, time / std::chrono::seconds(2));
   cr_expect_leq(calls - before, time / std::chrono::seconds(1) + 2);
 }
+
+/** Guards against a key lease from an answer that does not show the newest configuration: of
+ * another or an unknown era, before the end, without a configuration or with one that was not
+ * decoded. */
+Test(store_sync, only_proofs_of_the_newest_configuration_renew_the_key_lease)
+{
+  const struct
+  {
+    NewestRecord newest_;
+    bool reachesEnd_;
+    std::optional<std::uint64_t> era_;
+    bool isProof_;
+  } cases[] = {
+    { NewestRecord::kDecoded, true, 2, true },
+    { NewestRecord::kDecoded, true, 1, false },
+    { NewestRecord::kDecoded, true, 3, false },
+    { NewestRecord::kDecoded, true, std::nullopt, false },
+    { NewestRecord::kDecoded, false, 2, false },
+    { NewestRecord::kUndecodable, true, 2, false },
+    { NewestRecord::kNotIncluded, true, 2, false },
+  };
+  for (const auto& row : cases) {
+    RoutedSimulation world(1);
+    NodeState& node = world.nodes_[0];
+    node.settings_.keyRemovalBound_ = std::chrono::seconds(5);
+    world.Inject(0, StoreCallFinished{ StoreTask::kListing, AnnouncementsListed{}, 2 });
+    world.Inject(0, StoreCallFinished{ StoreTask::kConfiguration, StoreFailed{ "no answer" } });
+    world.Run(std::chrono::seconds(1));
+    ConfigurationRead read{ MakeRoutedConfiguration(1), 5, 0 };
+    read.newest_ = row.newest_;
+    read.reachesEnd_ = row.reachesEnd_;
+    world.Inject(0, StoreCallFinished{ StoreTask::kConfiguration, read, row.era_ });
+    cr_expect_eq(IsHeld(node.keyLease_, world.now_),
+                 row.isProof_,
+                 "record %d, reaches the end: %d, era %lu",
+                 static_cast<int>(row.newest_),
+                 row.reachesEnd_,
+                 row.era_.value_or(0));
+  }
+}
