Let the test of account fairness pass its states through the event

Cause: scripts/lint takes the assignment within the lambda for a use after a move.

Change: the lambda gets the event instead of its step. No other change of the test.

--- a/packages/policy/tests/AccountFairnessTest.cpp
+++ b/packages/policy/tests/AccountFairnessTest.cpp
@@ -48,9 +48,10 @@
   std::vector<double> served(count + 1);
   Instant now;
   const auto isCounted = [&] { return now >= Instant{ std::chrono::seconds(kSkippedSeconds) }; };
-  const auto apply = [&](Step<AdmissionState, AdmissionDecision> aStep) {
-    admission = std::move(aStep.state_);
-    for (const RequestId id : aStep.result_.start_) {
+  const auto apply = [&](const auto& aEvent) {
+    auto step = aEvent(std::move(admission));
+    admission = std::move(step.state_);
+    for (const RequestId id : step.result_.start_) {
       ends.emplace(now + kServiceTime, id);
       served[accounts.at(id)] += isCounted() ? 1 : 0;
     }
@@ -61,10 +62,12 @@
     while (!ends.empty() && ends.top().first <= now) {
       const RequestId id = ends.top().second;
       ends.pop();
-      apply(Finish(std::move(admission), id, CompletionKind::kSucceeded, now));
+      apply([&](AdmissionState aState) {
+        return Finish(std::move(aState), id, CompletionKind::kSucceeded, now);
+      });
     }
     if (millisecond % 100 == 0) {
-      apply(Advance(std::move(admission), now));
+      apply([&](AdmissionState aState) { return Advance(std::move(aState), now); });
     }
     const std::vector<double> rates = aRates(millisecond / 1000);
     for (std::size_t account = 0; account < count; ++account) {
@@ -87,8 +90,8 @@
           bucket = step.result_;
         }
         if (IsAdmitted(LevelOf(admission), Importance::kNormal, bucket)) {
-          apply(Offer(
-            std::move(admission), { id, 1, Importance::kNormal, bucket, now + kDeadline }, now));
+          const Arrival arrival{ id, 1, Importance::kNormal, bucket, now + kDeadline };
+          apply([&](AdmissionState aState) { return Offer(std::move(aState), arrival, now); });
         }
       }
     }
