Accept the new reasons in messages between nodes

Cause: decoding checks a reason against the last one, which was still the one before the reasons of client accounts, so a message with one of them would have been rejected as damaged. The generator of the fuzz test had the same bound and did not draw them.

Change: both use the last reason.

Measured: with the generator alone changed, the round trip of messages would fail; not run apart.

--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -67,7 +67,7 @@
 serialize(Archive& aArchive, Refusal& aValue)
 {
   aArchive(wire_detail::Checked<Verdict::kRan>(aValue.verdict_),
-           wire_detail::Checked<Reason::kAnswerNotKept>(aValue.reason_),
+           wire_detail::Checked<Reason::kQuotaUnavailable>(aValue.reason_),
            aValue.retryAfter_);
 }
 
@@ -446,7 +446,7 @@
   aArchive(aValue.ticket_,
            aValue.digest_,
            wire_detail::Checked<TicketFinalState::kMayHaveRun>(aValue.finalState_),
-           wire_detail::Checked<Reason::kAnswerNotKept>(aValue.reason_),
+           wire_detail::Checked<Reason::kQuotaUnavailable>(aValue.reason_),
            aValue.answer_);
 }
 
--- a/packages/wire/tests/AnyValue.h
+++ b/packages/wire/tests/AnyValue.h
@@ -46,7 +46,7 @@
 template<>
 inline constexpr Verdict kLast<Verdict> = Verdict::kRan;
 template<>
-inline constexpr Reason kLast<Reason> = Reason::kAnswerNotKept;
+inline constexpr Reason kLast<Reason> = Reason::kQuotaUnavailable;
 template<>
 inline constexpr Importance kLast<Importance> = Importance::kLow;
 template<>
