Describe the counters of quotas on the metrics page

Cause: the metrics gave no help text for the four counters of quotas, which the compiler refuses.

Change: their texts.

Measured: compiles.

--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -62,6 +62,14 @@
       return "Appends that the log service refused or whose outcome is unknown";
     case CounterId::kConfigFetches:
       return "Requests to a peer for a newer configuration";
+    case CounterId::kQuotaTokensUsed:
+      return "Requests that took a token of the quota of their client account";
+    case CounterId::kQuotaTokensReturned:
+      return "Requests that ended as not run and returned their token";
+    case CounterId::kQuotaMessagesReceived:
+      return "Datagrams about quotas of client accounts received from peers";
+    case CounterId::kQuotaMessagesSent:
+      return "Datagrams about quotas of client accounts sent to peers";
     case CounterId::kKeyLeasesLost:
       return "Times that the node had to stop accepting keys of client accounts";
   }
