Decide by domain loads which requests leave the failure domain

Today a request leaves its domain when a server elsewhere is four times faster. That ignores the cost of leaving and the free slots at the destination.

At the destination, requests of other domains are queued and shed behind the own ones of their class. Without the setting routing draws the same random numbers and makes the same choices as before.

--- a/packages/model/PeerMessage.h
+++ b/packages/model/PeerMessage.h
@@ -32,6 +32,8 @@
   bool repeat_ = false;
   /** The request may be executed more than once. */
   bool idempotent_ = false;
+  /** Sent by spill-over from another failure domain; the receiver's own requests go first. */
+  bool fromOtherDomain_ = false;
 
   bool operator==(const CallRequest&) const = default;
 };
--- a/packages/policy/Admission.cpp
+++ b/packages/policy/Admission.cpp
@@ -93,8 +93,8 @@
   aDecision.start_.push_back(aArrival.id_);
 }
 
-/** Queues an arrival. While the queue is under pressure, a request above the admission level is
- * queued only if it displaces a request of a higher rank. */
+/** Queues an arrival. While the queue is under pressure, a request above the admission level or of
+ * another failure domain is queued only if it displaces a request of a higher rank. */
 void
 EnqueueArrival(AdmissionState& aState,
                AdmissionDecision& aDecision,
@@ -103,7 +103,8 @@
 {
   const bool refuse =
     IsUnderPressure(aState, aNow) &&
-    !IsAdmitted(LevelOf(aState), aArrival.importance_, aArrival.rootRequestBucket_);
+    (aArrival.fromOtherDomain_ ||
+     !IsAdmitted(LevelOf(aState), aArrival.importance_, aArrival.rootRequestBucket_));
   QueueBounds bounds = BoundsOf(aState);
   const bool full = QueuedCount(aState) >= bounds.total_;
   if (refuse) {
@@ -111,7 +112,7 @@
   }
   if (const auto displaced = Enqueue(aState.queue_, aArrival, bounds, aNow)) {
     aDecision.shed_.push_back({ *displaced, refuse ? Reason::kShedByLevel : Reason::kShedByQueue });
-    if (full) {
+    if (full && !aArrival.fromOtherDomain_) {
       RecordOverflow(aState.level_);
     }
   }
@@ -224,7 +225,9 @@
   if (aState.running_.contains(aArrival.id_) || IsQueued(aState.queue_, aArrival.id_)) {
     throw InternalError("request is already queued or running");
   }
-  if (!aArrival.longRunning_ && !aArrival.offeredBefore_) {
+  // Requests of other failure domains do not count as load, since they must not lower the level for
+  // the own ones.
+  if (!aArrival.longRunning_ && !aArrival.offeredBefore_ && !aArrival.fromOtherDomain_) {
     RecordArrival(aState.level_,
                   AdmissionRank(aArrival.importance_, aArrival.rootRequestBucket_),
                   WaitingForSlot(aState));
--- a/packages/policy/AdmissionQueue.cpp
+++ b/packages/policy/AdmissionQueue.cpp
@@ -32,10 +32,15 @@
   });
 }
 
+/** Like AdmissionRank(), with the requests of other failure domains after the own ones of their
+ * class. */
 std::uint16_t
 RankOf(const Arrival& aArrival)
 {
-  return AdmissionRank(aArrival.importance_, aArrival.rootRequestBucket_);
+  const std::uint16_t classRank = AdmissionRank(aArrival.importance_, 0);
+  return static_cast<std::uint16_t>(2 * classRank +
+                                    (aArrival.fromOtherDomain_ ? kRootRequestBuckets : 0) +
+                                    aArrival.rootRequestBucket_);
 }
 
 /** The request to shed first, among all requests or among the long-running ones: the one with the
@@ -71,7 +76,10 @@
     displaced = worst->second.arrival_.id_;
     requests.erase(worst);
   }
-  requests.emplace(QueueKey{ aArrival.importance_, aArrival.deadline_, aQueue.nextSequence_++ },
+  requests.emplace(QueueKey{ aArrival.importance_,
+                             aArrival.fromOtherDomain_,
+                             aArrival.deadline_,
+                             aQueue.nextSequence_++ },
                    QueuedRequest{ aArrival, aNow });
   return displaced;
 }
--- a/packages/policy/AdmissionQueue.h
+++ b/packages/policy/AdmissionQueue.h
@@ -1,6 +1,6 @@
 /** \file
- * Bounded queue of the requests that wait for a slot, ordered by importance class, then deadline,
- * then arrival.
+ * Bounded queue of the requests that wait for a slot, ordered by importance class, then own
+ * failure domain before others, then deadline, then arrival.
  */
 #pragma once
 
@@ -26,6 +26,8 @@
   bool longRunning_ = false;
   /** Already counted as load by another node to which it was offered. */
   bool offeredBefore_ = false;
+  /** As in CallRequest. Served after the other requests of its class, and shed before them. */
+  bool fromOtherDomain_ = false;
 
   auto operator<=>(const Arrival&) const = default;
 };
@@ -34,8 +36,9 @@
 struct QueueKey
 {
   Importance importance_ = Importance::kNormal;
+  bool fromOtherDomain_ = false;
   Instant deadline_;
-  /** Arrival order; requests of equal class and deadline are served first come, first served. */
+  /** Arrival order; requests of equal class, domain and deadline are served first come, first served. */
   std::uint64_t sequence_ = 0;
 
   auto operator<=>(const QueueKey&) const = default;
--- a/packages/policy/Counters.h
+++ b/packages/policy/Counters.h
@@ -6,6 +6,7 @@
 
 #include "model/Importance.h"
 #include "model/Verdict.h"
+#include "policy/DomainSpill.h"
 
 #include <array>
 #include <cstdint>
@@ -90,6 +91,25 @@
 /** Refused and failed requests that are kept for "why". */
 inline constexpr std::size_t kMaxTraceEntries = 4096;
 
+/** Requests that were sent to another failure domain. */
+struct SpillKey
+{
+  std::string service_;
+  std::string domain_;
+  SpillReason reason_ = SpillReason::kOverload;
+
+  auto operator<=>(const SpillKey&) const = default;
+};
+
+struct SpillCount
+{
+  std::uint64_t requests_ = 0;
+  /** Bytes of their bodies. */
+  std::uint64_t bytes_ = 0;
+
+  bool operator==(const SpillCount&) const = default;
+};
+
 /** The number of refusal keys is bounded by the declared kinds: refusals of undeclared services and
  * kinds are counted under empty names. */
 struct Counters
@@ -97,6 +117,9 @@
   std::array<std::uint64_t, kCounterCount> values_{};
   std::map<RefusalKey, std::uint64_t> refusals_;
   std::deque<TraceEntry> trace_;
+  std::map<SpillKey, SpillCount> spills_;
+  /** Requests refused or lost in another failure domain, by service and domain. */
+  std::map<std::pair<std::string, std::string>, std::uint64_t> refusedSpills_;
 
   bool operator==(const Counters&) const = default;
 
--- a/packages/policy/Inbound.cpp
+++ b/packages/policy/Inbound.cpp
@@ -165,7 +165,7 @@
 MakeArrival(const NodeState& aState,
             RequestId aId,
             const InboundRequest& aRequest,
-            bool aOfferedBefore)
+            const CallRequest& aCall)
 {
   const Request& request = aRequest.request_;
   const KindSpec* kind = FindKind(ConfigOf(aState), request.service_, request.kind_);
@@ -175,7 +175,8 @@
            RootRequestBucket(request.rootRequestId_),
            aRequest.deadline_,
            kind != nullptr && kind->longRunning_,
-           aOfferedBefore };
+           aCall.offeredBefore_,
+           aCall.fromOtherDomain_ };
 }
 
 /** Registers the request, so that its outcome can be sent to its requester. */
@@ -226,7 +227,7 @@
     return;
   }
   const Arrival arrival =
-    MakeArrival(aState, aId, aState.inbound_.requests_.at(aId), aCall.offeredBefore_);
+    MakeArrival(aState, aId, aState.inbound_.requests_.at(aId), aCall);
   ApplyAdmission(
     aState,
     aContext,
--- a/packages/policy/NodeState.cpp
+++ b/packages/policy/NodeState.cpp
@@ -76,6 +76,7 @@
   state.budget_ = MakeRetryBudget(aSettings.retries_);
   state.inbound_.retries_.settings_ = aSettings.backendRetries_;
   state.control_.lastSnapshotAt_ = aNow;
+  state.routing_.spill_.settings_ = aSettings.domainSpill_;
   state.settings_ = std::move(aSettings);
   return state;
 }
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -72,6 +72,7 @@
    * a node that is cut off may accept it for longer. */
   std::optional<Duration> keyRemovalBound_;
   QuotaBounds quota_;
+  DomainSpillSettings domainSpill_;
   /** Whether requests need tickets; false where callers address backend servers by routes. */
   bool usesTickets_ = true;
 
@@ -175,6 +176,8 @@
   bool madeByRepeat_ = false;
   /** A backend server has received an attempt that ended. */
   bool hasReachedBackend_ = false;
+  /** An attempt was sent to another failure domain by spill-over. */
+  bool hasLeftDomain_ = false;
 
   bool operator==(const OutboundCall&) const = default;
 };
--- a/packages/policy/Outbound.cpp
+++ b/packages/policy/Outbound.cpp
@@ -8,6 +8,7 @@
 #include "policy/RequestMemory.h"
 #include "policy/RouteCandidates.h"
 #include "policy/RoutedCalls.h"
+#include "policy/SpillObservations.h"
 
 #include <algorithm>
 
@@ -211,6 +212,7 @@
                    aContext,
                    call.request_,
                    MakeAttemptReport(aContext, attempt, AttemptOutcome::kFailed, std::nullopt));
+  RecordSpillOutcome(aState, aContext, call.request_.service_, attempt.target_, nullptr);
   if (call.request_.ticket_) {
     ScheduleTicketRetry(aContext, call);
     return;
@@ -250,7 +252,7 @@
   if (!HasToken(aState.budget_, call.pool_)) {
     return;
   }
-  const RouteQuery query = MakeRouteQuery(aContext, call);
+  const RouteQuery query = MakeRouteQuery(aState, aContext, call);
   const RouteDecision choice = ChooseTarget(
     aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
   const bool isOther =
@@ -408,6 +410,8 @@
                                      attempt,
                                      isNotRun ? AttemptOutcome::kRefused : AttemptOutcome::kFailed,
                                      aRefused.load_));
+  RecordSpillOutcome(
+    aState, aContext, call.request_.service_, attempt.target_, &aRefused.refusal_);
   if (call.request_.ticket_) {
     HandleExecutorRefusal(aState, aContext, *callId, aRefused);
     return;
--- a/packages/policy/OutboundCalls.cpp
+++ b/packages/policy/OutboundCalls.cpp
@@ -3,6 +3,9 @@
 #include "policy/Inbound.h"
 #include "policy/RequestLog.h"
 #include "policy/RouteCandidates.h"
+#include "policy/SpillObservations.h"
+
+#include <algorithm>
 
 namespace fulmarway {
 
@@ -77,6 +80,8 @@
   const AttemptId attempt{ aState.outbound_.nextId_++ };
   call.attempts_.emplace(attempt, Attempt{ aTarget, aContext.now_, aIsHedge, std::nullopt });
   call.triedNodes_.push_back(aTarget);
+  const bool isInOtherDomain = IsInOtherDomain(aState, aTarget);
+  call.hasLeftDomain_ = call.hasLeftDomain_ || isInOtherDomain;
   aState.outbound_.byAttempt_.emplace(attempt, aCall);
   aState.counters_.Add(CounterId::kAttempts);
   aState.routing_ = RecordAttemptStart(std::move(aState.routing_), aTarget, aContext.now_);
@@ -92,24 +97,34 @@
                         tokens,
                         call.triedNodes_.size() > 1,
                         isRepeat,
-                        call.idempotent_ });
+                        call.idempotent_,
+                        isInOtherDomain });
 }
 
 RouteQuery
-MakeRouteQuery(ReduceContext& aContext, const OutboundCall& aCall)
+MakeRouteQuery(const NodeState& aState, ReduceContext& aContext, const OutboundCall& aCall)
 {
-  return { aCall.request_.importance_,       RootRequestBucket(aCall.request_.rootRequestId_),
+  RouteQuery query{ aCall.request_.importance_,       RootRequestBucket(aCall.request_.rootRequestId_),
            StableHash(aCall.request_.kind_), aCall.triedNodes_,
            aContext.random_.Next(),          aCall.request_.routed_ && !aCall.idempotent_ };
+  if (UsesDomainSpill(aState)) {
+    query.service_ = aCall.request_.service_;
+    query.bytes_ = aCall.request_.body_.size();
+    query.deadline_ = std::max(aCall.deadline_ - aContext.now_, Duration{ 0 });
+    query.refusedAtHome_ = !aCall.triedNodes_.empty();
+    query.mustStay_ = aCall.hasLeftDomain_ || !aCall.attempts_.empty();
+  }
+  return query;
 }
 
 void
 TryTarget(NodeState& aState, ReduceContext& aContext, CallId aCall)
 {
   const OutboundCall& call = aState.outbound_.calls_.at(aCall);
-  const RouteQuery query = MakeRouteQuery(aContext, call);
+  const RouteQuery query = MakeRouteQuery(aState, aContext, call);
   const RouteDecision choice = ChooseTarget(
     aState.routing_, CandidatesFor(aState, call.request_.service_), query, aContext.now_);
+  RecordSpillDecision(aState, aContext, call, choice);
   if (choice.verdict_ == RouteVerdict::kChosen) {
     SendAttempt(aState, aContext, aCall, choice.target_, false);
     return;
@@ -160,6 +175,9 @@
   for (const AttemptId id : open) {
     const Attempt attempt = *CloseAttempt(aState, id);
     aState.budget_ = ForfeitReservation(std::move(aState.budget_), id);
+    if (aOutcome == AttemptOutcome::kFailed) {
+      RecordSpillOutcome(aState, aContext, service, attempt.target_, nullptr);
+    }
     aState.routing_ =
       RecordAttemptEnd(std::move(aState.routing_),
                        { attempt.target_, aOutcome, aContext.now_ - attempt.startedAt_, {}, {}, 0 },
--- a/packages/policy/OutboundCalls.h
+++ b/packages/policy/OutboundCalls.h
@@ -17,7 +17,7 @@
 
 /** The routing query for the next attempt of the call, with new random bits. */
 RouteQuery
-MakeRouteQuery(ReduceContext& aContext, const OutboundCall& aCall);
+MakeRouteQuery(const NodeState& aState, ReduceContext& aContext, const OutboundCall& aCall);
 
 /** Chooses a target and sends the next attempt of an idempotent call, or ends the call. */
 void
--- a/packages/policy/Reducer.cpp
+++ b/packages/policy/Reducer.cpp
@@ -4,6 +4,7 @@
 #include "policy/Inbound.h"
 #include "policy/Lifecycle.h"
 #include "policy/Outbound.h"
+#include "policy/SpillObservations.h"
 #include "policy/StoreSync.h"
 
 namespace fulmarway {
@@ -87,6 +88,7 @@
   }
   AdvanceInbound(aState, aContext);
   AdvanceOutbound(aState, aContext);
+  AdvanceDomainSpill(aState, aContext);
   AdvanceControl(aState, aContext);
   AdvanceStore(aState, aContext);
   AdvanceLifecycle(aState, aContext);
--- a/packages/policy/RouteCandidates.cpp
+++ b/packages/policy/RouteCandidates.cpp
@@ -24,7 +24,8 @@
         { member.identity_.id_,
           member.identity_.domain_ == self.domain_,
           member.identity_.region_ == self.region_,
-          member.state_ == MemberState::kSuspect });
+          member.state_ == MemberState::kSuspect,
+          member.identity_.domain_ });
     }
   }
   if (!IsDraining(aState) && aState.lifecycle_.backendHealthy_) {
--- a/packages/policy/RoutedCalls.cpp
+++ b/packages/policy/RoutedCalls.cpp
@@ -5,6 +5,7 @@
 #include "policy/RequestMemory.h"
 #include "policy/RouteCandidates.h"
 #include "policy/RouteTable.h"
+#include "policy/SpillObservations.h"
 
 #include <algorithm>
 #include <tl/expected.hpp>
@@ -66,13 +67,15 @@
               const CallerRequest& aRequest,
               const RouteSpec& aRoute)
 {
-  const RouteQuery query{
+  RouteQuery query{
     aRoute.kind_.importance_,       RootRequestBucket(aRequest.rootRequestId_.value_or("")),
     StableHash(aRoute.kind_.name_), {},
     aContext.random_.Next(),        !aRoute.kind_.idempotent_
   };
+  query.deadline_ = aRoute.kind_.deadline_;
   return !aRequest.fromBackend_ &&
          std::all_of(aRoute.parts_.begin(), aRoute.parts_.end(), [&](const RoutePart& aPart) {
+           query.service_ = UsesDomainSpill(aState) ? aPart.service_ : "";
            return ChooseTarget(
                     aState.routing_, CandidatesFor(aState, aPart.service_), query, aContext.now_)
                     .verdict_ == RouteVerdict::kShedByLevel;
--- a/packages/policy/Routing.cpp
+++ b/packages/policy/Routing.cpp
@@ -24,6 +24,8 @@
 /** Use of the slots up to which a request is expected to start without waiting. */
 constexpr double kFreeUse = 0.7;
 constexpr std::uint64_t kSamplesForHedge = 20;
+/** Separates the random numbers of spill-over from those of the other choices. */
+constexpr std::uint64_t kSpillSeed = 0x5D0A11C0FFEE5EEDULL;
 
 struct ScoredCandidate
 {
@@ -208,6 +210,65 @@
   return chosen;
 }
 
+bool
+AllRefuseByLevel(const Pool& aPool)
+{
+  return std::all_of(aPool.begin(), aPool.end(), [](const ScoredCandidate& aScored) {
+    return aScored.refusedByLevel_;
+  });
+}
+
+/** The other failure domains that have a candidate which admits the request. A single attempt does
+ * not leave the region, since the network time would exceed the gain. */
+std::vector<std::string>
+OtherDomains(const Pool& aPool, bool aSameRegionOnly)
+{
+  std::vector<std::string> domains;
+  for (const ScoredCandidate& scored : aPool) {
+    const RouteCandidate& candidate = *scored.candidate_;
+    if (!candidate.sameDomain_ && !scored.refusedByLevel_ &&
+        (candidate.sameRegion_ || !aSameRegionOnly) &&
+        std::find(domains.begin(), domains.end(), candidate.domain_) == domains.end()) {
+      domains.push_back(candidate.domain_);
+    }
+  }
+  return domains;
+}
+
+/** Restricts the pool to the failure domain that DomainSpill chooses. Without a usable server in
+ * the own domain, the pool stays as it is. */
+SpillChoice
+RestrictToDomain(const RoutingState& aState, Pool& aPool, const RouteQuery& aQuery, Instant aNow)
+{
+  Pool local = Filter(
+    aPool, [](const ScoredCandidate& aScored) { return aScored.candidate_->sameDomain_; });
+  if (local.empty()) {
+    return { SpillReason::kNoServer, {}, 0 };
+  }
+  SpillChoice choice;
+  const auto service = aState.spill_.services_.find(aQuery.service_);
+  if (service != aState.spill_.services_.end() && !aQuery.mustStay_) {
+    std::uint64_t seed = aQuery.entropy_ ^ kSpillSeed;
+    SpillRequest request{ aQuery.bytes_, aQuery.deadline_ };
+    request.refusedAtHome_ = aQuery.refusedAtHome_ || AllRefuseByLevel(local);
+    request.repeatable_ = !aQuery.singleAttempt_ && aQuery.tried_.empty();
+    request.leaveDraw_ = NextFraction(seed);
+    request.domainDraw_ = NextFraction(seed);
+    choice = ChooseDomain(service->second,
+                          request,
+                          OtherDomains(aPool, aQuery.singleAttempt_),
+                          aState.spill_.settings_,
+                          aNow);
+  }
+  aPool = choice.reason_ == SpillReason::kStays
+            ? std::move(local)
+            : Filter(aPool, [&](const ScoredCandidate& aScored) {
+                return !aScored.candidate_->sameDomain_ &&
+                       aScored.candidate_->domain_ == choice.domain_;
+              });
+  return choice;
+}
+
 /** Draws an index with a probability proportional to its weight; never aExcluded. */
 std::size_t
 DrawIndex(const Pool& aPool, std::size_t aExcluded, std::uint64_t& aSeed)
@@ -364,11 +425,12 @@
   pool = Prefer(std::move(pool),
                 [](const ScoredCandidate& aScored) { return !aScored.candidate_->suspect_; });
   pool = Prefer(std::move(pool), [](const ScoredCandidate& aScored) { return !aScored.ejected_; });
-  const bool refused = std::all_of(pool.begin(), pool.end(), [](const ScoredCandidate& aScored) {
-    return aScored.refusedByLevel_;
-  });
-  if (refused && NextRandom(seed) % kProbeOneIn != 0) {
-    return { RouteVerdict::kShedByLevel, {} };
+  const bool usesSpill = aState.spill_.settings_.maxPercent_ && !aQuery.service_.empty();
+  const SpillChoice spill =
+    usesSpill ? RestrictToDomain(aState, pool, aQuery, aNow) : SpillChoice{};
+  const bool isOneDomain = usesSpill && spill.reason_ != SpillReason::kNoServer;
+  if (AllRefuseByLevel(pool) && NextRandom(seed) % kProbeOneIn != 0) {
+    return { RouteVerdict::kShedByLevel, {}, spill };
   }
   pool = Prefer(std::move(pool),
                 [](const ScoredCandidate& aScored) { return !aScored.refusedByLevel_; });
@@ -376,14 +438,19 @@
     return std::find(aQuery.tried_.begin(), aQuery.tried_.end(), aScored.candidate_->id_) ==
            aQuery.tried_.end();
   });
+  if (isOneDomain && !aQuery.singleAttempt_) {
+    return { RouteVerdict::kChosen, BetterOfTwo(pool, seed), spill };
+  }
   if (aQuery.singleAttempt_) {
     pool = Prefer(std::move(pool), [](const ScoredCandidate& aScored) {
       return Distance(*aScored.candidate_) <= 1;
     });
-    pool = LocalUnlessSlow(aState, std::move(pool), aQuery.kindKey_);
-    return { RouteVerdict::kChosen, FastestOfSome(aState, std::move(pool), aQuery, aNow) };
+    if (!isOneDomain) {
+      pool = LocalUnlessSlow(aState, std::move(pool), aQuery.kindKey_);
+    }
+    return { RouteVerdict::kChosen, FastestOfSome(aState, std::move(pool), aQuery, aNow), spill };
   }
-  return { RouteVerdict::kChosen, BetterOfTwo(NearestUseful(pool), seed) };
+  return { RouteVerdict::kChosen, BetterOfTwo(NearestUseful(pool), seed), spill };
 }
 
 RoutingState
--- a/packages/policy/Routing.h
+++ b/packages/policy/Routing.h
@@ -9,6 +9,7 @@
 #include "model/PeerMessage.h"
 #include "model/Step.h"
 #include "model/Time.h"
+#include "policy/DomainSpill.h"
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,8 @@
   bool sameRegion_ = false;
   /** Did not answer a membership probe; chosen only if all candidates are suspect. */
   bool suspect_ = false;
+  /** Name of the failure domain; only used where spill-over is on, and not for the own domain. */
+  std::string domain_ = {};
 
   auto operator<=>(const RouteCandidate&) const = default;
 };
@@ -43,6 +46,14 @@
   std::uint64_t entropy_ = 0;
   /** A request that cannot be sent again if its only attempt takes too long. */
   bool singleAttempt_ = false;
+  /** The fields below are for spill-over; it applies only to a query with a service. */
+  std::string service_ = {};
+  std::size_t bytes_ = 0;
+  Duration deadline_{ 0 };
+  /** A server of the own domain refused an earlier attempt because of its load. */
+  bool refusedAtHome_ = false;
+  /** The attempt must not leave the own domain: it is a hedge, or an earlier one has left. */
+  bool mustStay_ = false;
 
   auto operator<=>(const RouteQuery&) const = default;
 };
@@ -61,6 +72,7 @@
 {
   RouteVerdict verdict_ = RouteVerdict::kNoBackendServer;
   NodeId target_;
+  SpillChoice spill_ = {};
 
   auto operator<=>(const RouteDecision&) const = default;
 };
@@ -146,12 +158,13 @@
 struct RoutingState
 {
   std::map<NodeId, TargetObservations> targets_;
+  DomainSpillState spill_;
 
   bool operator==(const RoutingState&) const = default;
 };
 
 /** Chooses the better of two random candidates by outstanding attempts and latency; prefers those
- * in the local failure domain. For a single attempt, chooses the fastest of a few candidates by the
+ * in the local failure domain, or chooses the domain by DomainSpill where that is switched on. For a single attempt, chooses the fastest of a few candidates by the
  * service time that they report for the kind, from other failure domains only if they are much
  * faster: a request that takes several times its usual time misses its deadline on a slow backend
  * server, and no hedge can help it. */
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -373,7 +373,8 @@
            aValue.reservedTokens_,
            aValue.offeredBefore_,
            aValue.repeat_,
-           aValue.idempotent_);
+           aValue.idempotent_,
+           aValue.fromOtherDomain_);
 }
 
 template<class Archive>
