--- a/packages/ctl/Help.cpp
+++ b/packages/ctl/Help.cpp
@@ -17,7 +17,7 @@
   drain IP:PORT
   undrain IP:PORT
 Statements that read:
-  show services|members|config|shed|load
+  show services|members|config|shed|load|spill
   why CLICK-ID
   audit [last N]
   wait version N [timeout 4s]
@@ -63,6 +63,7 @@
 show config     configuration version, next log offset to read, and drained nodes
 show shed       requests that this node refused since its start, by kind and reason
 show load       concurrency limit, queue and connections of this node
+show spill      requests that this node sent to other failure domains, where to and why
 )" },
   { "why",
     R"(why CLICK-ID
--- a/packages/ctl/Parser.cpp
+++ b/packages/ctl/Parser.cpp
@@ -17,12 +17,13 @@
 constexpr std::uint32_t kMaxAuditEntries = 1000;
 constexpr Duration kMaxWaitTimeout = std::chrono::hours(1);
 
-constexpr std::array<std::pair<std::string_view, ShowTopic>, 5> kShowTopics = { {
+constexpr std::array<std::pair<std::string_view, ShowTopic>, 6> kShowTopics = { {
   { "services", ShowTopic::kServices },
   { "members", ShowTopic::kMembers },
   { "config", ShowTopic::kConfig },
   { "shed", ShowTopic::kShed },
   { "load", ShowTopic::kLoad },
+  { "spill", ShowTopic::kSpill },
 } };
 
 struct KindPath
@@ -288,7 +289,7 @@
       return ShowStatement{ topic };
     }
   }
-  aCursor.Fail("expected services, members, config, shed or load");
+  aCursor.Fail("expected services, members, config, shed, load or spill");
   return {};
 }
 
--- a/packages/ctl/Render.cpp
+++ b/packages/ctl/Render.cpp
@@ -239,6 +239,45 @@
   return otherRefusals.empty() ? text : text + '\n' + table("REFUSED", otherRefusals);
 }
 
+std::string
+Render(const SpillDocument& aDocument, OutputFormat aFormat)
+{
+  if (aFormat == OutputFormat::kJson) {
+    return ToJsonLine(aDocument);
+  }
+  constexpr std::uint32_t kPerMilleInPercent = 10;
+  std::vector<Row> shares;
+  for (const SpillShare& share : aDocument.shares_) {
+    shares.push_back({ Printable(share.service_),
+                       Printable(share.domain_),
+                       std::to_string(share.perMille_ / kPerMilleInPercent) + '.' +
+                         std::to_string(share.perMille_ % kPerMilleInPercent) + '%',
+                       std::to_string(share.refused_) });
+  }
+  std::vector<Row> counts;
+  for (const SpillView& count : aDocument.counts_) {
+    counts.push_back({ Printable(count.service_),
+                       Printable(count.domain_),
+                       Printable(count.reason_),
+                       std::to_string(count.requests_),
+                       std::to_string(count.bytes_) });
+  }
+  std::string text = aDocument.maxPercent_.empty()
+                       ? "spill-over is off\n"
+                       : "at most " + Printable(aDocument.maxPercent_) + "% leaves\n";
+  text += RenderTable(
+    { { "SERVICE" }, { "DOMAIN" }, { "SHARE", Align::kRight }, { "REFUSED", Align::kRight } },
+    shares);
+  return counts.empty() ? text
+                        : text + '\n' +
+                            RenderTable({ { "SERVICE" },
+                                          { "DOMAIN" },
+                                          { "REASON" },
+                                          { "REQUESTS", Align::kRight },
+                                          { "BYTES", Align::kRight } },
+                                        counts);
+}
+
 std::string
 Render(const LoadDocument& aDocument, OutputFormat aFormat)
 {
--- a/packages/ctl/Render.h
+++ b/packages/ctl/Render.h
@@ -29,6 +29,8 @@
 std::string
 Render(const ShedDocument& aDocument, OutputFormat aFormat);
 std::string
+Render(const SpillDocument& aDocument, OutputFormat aFormat);
+std::string
 Render(const LoadDocument& aDocument, OutputFormat aFormat);
 std::string
 Render(const AuditDocument& aDocument, OutputFormat aFormat);
--- a/packages/ctl/Session.cpp
+++ b/packages/ctl/Session.cpp
@@ -149,6 +149,8 @@
       return PrintDocument("/control/v1/shed", ParseShedDocument);
     case ShowTopic::kLoad:
       return PrintDocument("/control/v1/load", ParseLoadDocument);
+    case ShowTopic::kSpill:
+      return PrintDocument("/control/v1/spill", ParseSpillDocument);
   }
   return ExitStatus::kUsage;
 }
--- a/packages/ctl/Statement.h
+++ b/packages/ctl/Statement.h
@@ -21,6 +21,7 @@
   kConfig,
   kShed,
   kLoad,
+  kSpill,
 };
 
 struct ShowStatement
--- a/packages/ctl/tests/ParserTest.cpp
+++ b/packages/ctl/tests/ParserTest.cpp
@@ -96,6 +96,7 @@
     { "outcome 00ab", OutcomeStatement{ { 0xab } } },
     { "help", HelpStatement{} },
     { "help set # a comment", HelpStatement{ "set" } },
+    { "show spill", ShowStatement{ ShowTopic::kSpill } },
     { "; # only separators\n;;show load;\n", ShowStatement{ ShowTopic::kLoad } },
   };
   for (const Case& test : cases) {
@@ -133,7 +134,7 @@
     { "drain 10.0.0.01:7000", 1, 7, 14, "IP:PORT" },
     { "drain 10.0.0.1:65536", 1, 7, 14, "IP:PORT" },
     { "undrain 10.0.0.1:7000 now", 1, 23, 3, "expected the end" },
-    { "show load\n  show\tlaod", 2, 8, 4, "services, members, config, shed or load" },
+    { "show load\n  show\tlaod", 2, 8, 4, "services, members, config, shed, load or spill" },
     { "show load; audit last 1001", 1, 23, 4, "from 1 to 1000" },
     { "wait version 1 timeout 3601s", 1, 24, 5, "at most 3600s" },
     { "why \xc3\xa9t\xc3\xa9 x", 1, 9, 1, "expected the end" },
--- a/packages/model/ControlDocuments.h
+++ b/packages/model/ControlDocuments.h
@@ -150,6 +150,42 @@
   bool operator==(const LoadDocument&) const = default;
 };
 
+/** What leaves the failure domain of the node for one service, one destination and one reason. */
+struct SpillView
+{
+  std::string service_;
+  std::string domain_;
+  std::string reason_;
+  /** Since the start of the node. */
+  std::uint64_t requests_ = 0;
+  std::uint64_t bytes_ = 0;
+
+  bool operator==(const SpillView&) const = default;
+};
+
+/** The share of a service's requests that goes to a domain now, in thousandths. */
+struct SpillShare
+{
+  std::string service_;
+  std::string domain_;
+  std::uint32_t perMille_ = 0;
+  /** Requests refused or lost there since the start of the node. */
+  std::uint64_t refused_ = 0;
+
+  bool operator==(const SpillShare&) const = default;
+};
+
+/** `GET /control/v1/spill`. */
+struct SpillDocument
+{
+  /** Value of --domain-spill-percent; empty when it is not given. */
+  std::string maxPercent_;
+  std::vector<SpillShare> shares_;
+  std::vector<SpillView> counts_;
+
+  bool operator==(const SpillDocument&) const = default;
+};
+
 struct AuditLine
 {
   /** Wall clock of the node that received the command, milliseconds since 1970. */
--- a/packages/node/AdminApi.cpp
+++ b/packages/node/AdminApi.cpp
@@ -17,9 +17,9 @@
 constexpr std::string_view kControlPrefix = "/control/v1/";
 constexpr std::string_view kCommandPath = "/control/v1/command";
 constexpr std::uint64_t kDefaultAuditEntries = 20;
-constexpr std::array<std::string_view, 9> kDocuments = { "services", "members", "config",
-                                                         "shed",     "load",    "audit",
-                                                         "why",      "command", "inforce" };
+constexpr std::array<std::string_view, 10> kDocuments = {
+  "services", "members", "config", "shed", "load", "spill", "audit", "why", "command", "inforce",
+};
 
 AdminReply
 ErrorReply(std::uint16_t aStatus, const std::string& aMessage)
@@ -142,6 +142,9 @@
   if (aName == "load") {
     return DocumentReply(MakeLoadDocument(aState, aLoop.callerConnections_));
   }
+  if (aName == "spill") {
+    return DocumentReply(MakeSpillDocument(aState));
+  }
   if (aName == "audit") {
     return HandleGetAudit(aState, aUri);
   }
--- a/packages/node/AdminDocuments.cpp
+++ b/packages/node/AdminDocuments.cpp
@@ -71,6 +71,32 @@
   return document;
 }
 
+SpillDocument
+MakeSpillDocument(const NodeState& aState)
+{
+  constexpr double kPerMille = 1000;
+  const auto& percent = aState.routing_.spill_.settings_.maxPercent_;
+  SpillDocument document{ percent ? std::to_string(*percent) : "", {}, {} };
+  for (const auto& [service, spill] : aState.routing_.spill_.services_) {
+    for (const auto& [domain, destination] : spill.destinations_) {
+      const auto refused = aState.counters_.refusedSpills_.find({ service, domain });
+      document.shares_.push_back(
+        { service,
+          domain,
+          static_cast<std::uint32_t>(destination.share_ * kPerMille),
+          refused == aState.counters_.refusedSpills_.end() ? 0 : refused->second });
+    }
+  }
+  for (const auto& [key, count] : aState.counters_.spills_) {
+    document.counts_.push_back({ key.service_,
+                                 key.domain_,
+                                 std::string(ToString(key.reason_)),
+                                 count.requests_,
+                                 count.bytes_ });
+  }
+  return document;
+}
+
 LoadDocument
 MakeLoadDocument(const NodeState& aState, std::size_t aConnections)
 {
--- a/packages/node/AdminDocuments.h
+++ b/packages/node/AdminDocuments.h
@@ -20,6 +20,9 @@
 ShedDocument
 MakeShedDocument(const NodeState& aState);
 
+SpillDocument
+MakeSpillDocument(const NodeState& aState);
+
 LoadDocument
 MakeLoadDocument(const NodeState& aState, std::size_t aConnections);
 
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -112,6 +112,41 @@
   return family;
 }
 
+/** What spill-over has sent to other failure domains, and the shares in effect. */
+void
+AddSpills(std::vector<MetricFamily>& aFamilies, const NodeState& aState)
+{
+  MetricFamily requests = MakeFamily(
+    "domain_spill_requests_total", "Attempts sent to another failure domain", MetricType::Counter);
+  MetricFamily bytes = MakeFamily("domain_spill_bytes_total",
+                                  "Bytes of bodies sent to another failure domain",
+                                  MetricType::Counter);
+  for (const auto& [key, count] : aState.counters_.spills_) {
+    const Labels labels{ { "service", key.service_ },
+                         { "domain", key.domain_ },
+                         { "reason", std::string(ToString(key.reason_)) } };
+    AddValue(requests, static_cast<double>(count.requests_), labels);
+    AddValue(bytes, static_cast<double>(count.bytes_), labels);
+  }
+  MetricFamily refused = MakeFamily("domain_spill_refused_total",
+                                    "Attempts refused or lost in another failure domain",
+                                    MetricType::Counter);
+  for (const auto& [key, count] : aState.counters_.refusedSpills_) {
+    AddValue(refused,
+             static_cast<double>(count),
+             { { "service", key.first }, { "domain", key.second } });
+  }
+  MetricFamily shares = MakeFamily("domain_spill_share",
+                                   "Share of the requests for a service that leaves now",
+                                   MetricType::Gauge);
+  for (const auto& [service, spill] : aState.routing_.spill_.services_) {
+    for (const auto& [domain, destination] : spill.destinations_) {
+      AddValue(shares, destination.share_, { { "service", service }, { "domain", domain } });
+    }
+  }
+  aFamilies.insert(aFamilies.end(), { requests, bytes, refused, shares });
+}
+
 MetricFamily
 MakeMembers(const NodeState& aState)
 {
@@ -218,6 +253,7 @@
                                   static_cast<double>(aState.counters_.Value(counter))));
   }
   families.push_back(MakeRefusals(aState.counters_));
+  AddSpills(families, aState);
   families.push_back(MakeMembers(aState));
   families.push_back(MakeHeldBytes(aLoop.held_));
   AddGauges(families, aState, aLoop);
--- a/packages/node/Settings.cpp
+++ b/packages/node/Settings.cpp
@@ -22,6 +22,7 @@
   kName,
   kSecret,
   kNumber,
+  kOptionalNumber,
   kLogLevel,
   kInterface,
   /** Validated by the interface. */
@@ -114,6 +115,20 @@
                "maximum number of caller connections",
                1,
                100000 },
+  SettingSpec{ "domain-spill-percent",
+               SettingKind::kOptionalNumber,
+               "",
+               "largest share of the requests for a service that leaves the failure domain while it "
+               "has servers, percent; 0 for never, not given: by latency alone",
+               0,
+               100 },
+  SettingSpec{ "domain-byte-cost",
+               SettingKind::kNumber,
+               "50",
+               "waiting time that the transfer of a byte between failure domains is worth, "
+               "nanoseconds; with domain-spill-percent",
+               0,
+               1000000 },
   SettingSpec{
     "held-mb",
     SettingKind::kNumber,
@@ -214,6 +229,7 @@
     case SettingKind::kText:
       return "NAME=VALUE,...";
     case SettingKind::kNumber:
+    case SettingKind::kOptionalNumber:
       break;
   }
   return "a number from " + std::to_string(aSpec.low_) + " to " + std::to_string(aSpec.high_);
@@ -239,6 +255,11 @@
       return aValue == kOwnInterface || aValue == kPlatformInterface;
     case SettingKind::kText:
       return true;
+    case SettingKind::kOptionalNumber:
+      if (aValue.empty()) {
+        return true;
+      }
+      break;
     case SettingKind::kNumber:
       break;
   }
@@ -311,6 +332,11 @@
   node.retries_.retrySharePercent_ =
     static_cast<std::uint32_t>(*ParseNumber(aValues.at("retry-share-percent")));
   node.retries_.retryBurst_ = static_cast<std::uint32_t>(*ParseNumber(aValues.at("retry-burst")));
+  if (const auto percent = ParseNumber(aValues.at("domain-spill-percent"))) {
+    node.domainSpill_.maxPercent_ = static_cast<std::uint32_t>(*percent);
+  }
+  node.domainSpill_.byteCostNs_ =
+    static_cast<std::uint32_t>(*ParseNumber(aValues.at("domain-byte-cost")));
   node.usesStore_ = settings.interface_ == kPlatformInterface;
   node.usesTickets_ = !node.usesStore_;
   node.logPollInterval_ = ParseMilliseconds(aValues.at("log-poll-ms"));
--- a/packages/node/tests/AdminApiTest.cpp
+++ b/packages/node/tests/AdminApiTest.cpp
@@ -191,6 +191,15 @@
   cr_expect(ParseConfigDocument(get("config")) == config);
   const auto load = ParseLoadDocument(get("load"));
   cr_expect(load && load->connections_ == 212);
+  NodeState spilling = state;
+  spilling.routing_.spill_.settings_.maxPercent_ = 40;
+  spilling.routing_.spill_.services_["pricing"].destinations_["b"].share_ = 0.25;
+  spilling.counters_.spills_[{ "pricing", "b", SpillReason::kOverload }] = { 7, 700 };
+  spilling.counters_.refusedSpills_[{ "pricing", "b" }] = 2;
+  const SpillDocument spill{ "40",
+                             { { "pricing", "b", 250, 2 } },
+                             { { "pricing", "b", "overload", 7, 700 } } };
+  cr_expect(ParseSpillDocument(ReplyTo(spilling, "GET", "/control/v1/spill").body_) == spill);
   const auto shed = ParseShedDocument(get("shed"));
   cr_expect(shed && shed->counts_.size() == 1 && shed->counts_[0].count_ == 3 &&
             shed->counts_[0].side_ == "inbound");
--- a/packages/node/tests/MetricsTest.cpp
+++ b/packages/node/tests/MetricsTest.cpp
@@ -25,6 +25,9 @@
   "config_fetches_total",
   "control_received_bytes_total",
   "control_sent_bytes_total",
+  "domain_spill_bytes_total",
+  "domain_spill_refused_total",
+  "domain_spill_requests_total",
   "gossip_received_total",
   "gossip_sent_total",
   "hedges_total",
@@ -54,6 +57,7 @@
   "held_bytes",         "log_reachable",     "members",
   "outbound_calls",     "queued_requests",   "running_requests",
   "store_era",          "store_reachable",   "tickets",
+  "domain_spill_share",
 };
 
 struct Scrape
@@ -148,6 +152,27 @@
   }
 }
 
+/** Guards against a spill that is counted for another domain or reason. */
+Test(metrics, spills_tell_domains_and_reasons_apart)
+{
+  NodeState state = MakeTestState();
+  state.counters_.spills_[{ "pricing", "b", SpillReason::kOverload }] = { 7, 700 };
+  state.counters_.spills_[{ "pricing", "c", SpillReason::kProbe }] = { 2, 20 };
+  state.counters_.refusedSpills_[{ "pricing", "c" }] = 1;
+  state.routing_.spill_.services_["pricing"].destinations_["b"].share_ = 0.25;
+  const Scrape scrape = Read(RenderMetrics(state, {}));
+  const std::map<std::string, std::string> expected = {
+    { R"(domain_spill_requests_total{service="pricing",domain="b",reason="overload"})", "7" },
+    { R"(domain_spill_bytes_total{service="pricing",domain="b",reason="overload"})", "700" },
+    { R"(domain_spill_requests_total{service="pricing",domain="c",reason="probe"})", "2" },
+    { R"(domain_spill_refused_total{service="pricing",domain="c"})", "1" },
+    { R"(domain_spill_share{service="pricing",domain="b"})", "0.25" },
+  };
+  for (const auto& [name, value] : expected) {
+    cr_expect(scrape.values_.contains(name) && scrape.values_.at(name) == value, "%s", name.c_str());
+  }
+}
+
 /** A large value in exponent form or rounded to six digits would hide a slow change. */
 Test(metrics, large_counters_keep_their_digits)
 {
--- a/packages/node/tests/SettingsTest.cpp
+++ b/packages/node/tests/SettingsTest.cpp
@@ -86,6 +86,9 @@
     { "log-retention-seconds", std::to_string(seconds.count()) },
     { "log-poll-ms", milliseconds(node.logPollInterval_) },
     { "max-connections", std::to_string(aSettings.maxConnections_) },
+    { "domain-spill-percent",
+      node.domainSpill_.maxPercent_ ? std::to_string(*node.domainSpill_.maxPercent_) : "" },
+    { "domain-byte-cost", std::to_string(node.domainSpill_.byteCostNs_) },
   };
   return values.at(aName);
 }
@@ -136,6 +139,12 @@
     { "debug", "info", "warn", "error" },
     { "", "INFO", "trace" },
     "debug, info, warn or error" },
+  { "domain-spill-percent",
+    "",
+    { "", "0", "40", "100" },
+    { "101", "-1", "all" },
+    "a number from 0 to 100" },
+  { "domain-byte-cost", "50", { "0", "1000000" }, { "", "1000001" }, "a number from 0 to 1000000" },
   { "stop-timeout-ms",
     "30000",
     { "3000", "600000" },
--- a/packages/policy/DomainSpill.cpp
+++ b/packages/policy/DomainSpill.cpp
@@ -16,8 +16,9 @@
 constexpr Duration kTrustTimeConstant = std::chrono::seconds(10);
 /** Time constant with which a share follows its target. */
 constexpr Duration kShareTimeConstant = std::chrono::milliseconds(250);
-/** Use of the own slots, with the queue, from which on requests leave. */
+/** Use of the own slots, with a part of the queue, from which on requests leave. */
 constexpr double kHomeUse = 0.97;
+constexpr double kHomeQueueWeight = 0.25;
 /** Use of a destination's slots up to which it gets requests of other domains. The rest is left to
  * variations of its own load. */
 constexpr double kDestinationUse = 0.94;
@@ -50,10 +51,12 @@
                       static_cast<double>(aTimeConstant.count()));
 }
 
+/** Use of the slots. A short queue forms at single servers long before the domain is full, so
+ * queued requests count in part for the own domain and not at all for others. */
 double
-UseOf(const DomainLoad& aLoad)
+UseOf(const DomainLoad& aLoad, double aQueueWeight)
 {
-  return (aLoad.running_ + aLoad.queued_) / std::max(aLoad.limit_, 1.0);
+  return (aLoad.running_ + aQueueWeight * aLoad.queued_) / std::max(aLoad.limit_, 1.0);
 }
 
 /** Slots of all servers of the domain, estimated from those that have reported. */
@@ -134,7 +137,7 @@
     aSpill.wanted_ = 0;
     return;
   }
-  Smooth(aSpill.homeUse_, UseOf(aHome), aGain);
+  Smooth(aSpill.homeUse_, UseOf(aHome, kHomeQueueWeight), aGain);
   aSpill.homeTimeUs_ = aHome.timeUs_;
   const double kept = std::max(1 - RecentLeavingShare(aSpill), kMinKept);
   const double stayed = std::max(aSpill.offers_ - aSpill.left_, 1.0);
@@ -176,7 +179,7 @@
     aDestination.share_ = 0;
     return;
   }
-  Smooth(aDestination.use_, UseOf(*aLoad), aGain);
+  Smooth(aDestination.use_, UseOf(*aLoad, 0), aGain);
   aDestination.timeUs_ = aLoad->timeUs_;
 }
 
--- a/packages/policy/tests/ChainSimulation.cpp
+++ b/packages/policy/tests/ChainSimulation.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kNodeDelay = std::chrono::microseconds(700);
 constexpr Duration kSettleTime = std::chrono::seconds(2);
 constexpr Duration kCallerDeadline = std::chrono::seconds(5);
+/** Time after which a node gives up a connection on which nothing arrives. */
+constexpr Duration kSilenceTimeout = std::chrono::milliseconds(600);
 
 std::string
 UriOf(const ChainKind& aKind)
@@ -33,6 +35,7 @@
     route.kind_.importance_ = kind.importance_;
     route.kind_.extraAttempts_ = 1;
     route.kind_.deadline_ = kind.timeout_;
+    route.kind_.idempotent_ = kind.idempotent_;
     route.parts_ = { { kind.service_, 1 } };
     configuration.routes_.push_back(std::move(route));
   }
@@ -41,19 +44,20 @@
 }
 
 NodeSettings
-MakeSettings(std::size_t aNode, const std::string& aService, std::uint32_t aDomains)
+MakeSettings(std::size_t aNode, const std::string& aService, const ChainPlan& aPlan)
 {
   NodeSettings settings;
   settings.identity_.peerAddress_ = std::to_string(aNode);
   settings.identity_.id_ = NodeId{ aNode + 1 };
   settings.identity_.incarnation_ = { 7, aNode + 1 };
   settings.identity_.service_ = aService;
-  settings.identity_.domain_ = "domain-" + std::to_string(aNode % aDomains);
+  settings.identity_.domain_ = "domain-" + std::to_string(aNode % aPlan.domains_);
   settings.identity_.region_ = "region";
   settings.usesStore_ = true;
   settings.usesTickets_ = false;
   settings.retries_.retrySharePercent_ = 5;
   settings.retries_.retryBurst_ = 1;
+  settings.domainSpill_ = aPlan.spill_;
   return settings;
 }
 
@@ -66,28 +70,16 @@
 {
   for (const ChainService& service : plan_.services_) {
     for (std::uint32_t i = 0; i < service.servers_; ++i) {
-      nodes_.push_back(
-        MakeNodeState(MakeSettings(nodes_.size(), service.name_, plan_.domains_), now_));
+      nodes_.push_back(MakeNodeState(MakeSettings(nodes_.size(), service.name_, plan_), now_));
       speeds_.push_back(service.speeds_[i % service.speeds_.size()]);
+      serviceOfNode_.push_back(service);
     }
   }
   tasks_.resize(nodes_.size());
-  AnnouncementsListed all;
-  for (const NodeState& node : nodes_) {
-    all.members_.push_back(node.membership_.self_);
-  }
-  std::size_t index = 0;
-  for (const ChainService& service : plan_.services_) {
-    for (std::uint32_t i = 0; i < service.servers_; ++i, ++index) {
-      DeliverEvent(index, StoreCallFinished{ StoreTask::kListing, all });
-      DeliverEvent(
-        index,
-        BackendHeartbeatReceived{
-          { "i", 1, 1, service.name_, "10.0.0.1:80", service.slots_, false, Duration{ 0 } } });
-      DeliverEvent(index,
-                   StoreCallFinished{ StoreTask::kConfiguration,
-                                      ConfigurationRead{ MakeConfiguration(plan_), 1, 0 } });
-    }
+  isDown_.resize(nodes_.size());
+  const AnnouncementsListed members = Announcements();
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    StartNode(node, members);
   }
   Run(kSettleTime);
   start_ = now_;
@@ -99,6 +91,137 @@
   }
 }
 
+AnnouncementsListed
+ChainSimulation::Announcements() const
+{
+  AnnouncementsListed all;
+  for (const NodeState& node : nodes_) {
+    all.members_.push_back(node.membership_.self_);
+  }
+  return all;
+}
+
+void
+ChainSimulation::StartNode(std::size_t aNode, const AnnouncementsListed& aMembers)
+{
+  const ChainService& service = serviceOfNode_[aNode];
+  DeliverEvent(aNode, StoreCallFinished{ StoreTask::kListing, aMembers });
+  DeliverEvent(
+    aNode,
+    BackendHeartbeatReceived{
+      { "i", 1, 1, service.name_, "10.0.0.1:80", service.slots_, false, Duration{ 0 } } });
+  DeliverEvent(aNode,
+               StoreCallFinished{ StoreTask::kConfiguration,
+                                  ConfigurationRead{ MakeConfiguration(plan_), 1, 0 } });
+}
+
+/** The connections to a process that ends are reset. */
+void
+ChainSimulation::StopNode(std::size_t aNode)
+{
+  for (const auto& [requester, id] : nodes_[aNode].inbound_.byRequester_) {
+    if (requester.link_ != LinkId{}) {
+      ScheduleLoss(requester.link_.value_ - 1, aNode, requester.attempt_, kNodeDelay);
+    }
+  }
+  tasks_[aNode].clear();
+}
+
+void
+ChainSimulation::ApplyFaults()
+{
+  const double seconds = std::chrono::duration<double>(now_ - start_).count();
+  for (std::size_t node = 0; sending_ && plan_.faults_.down_ && node < nodes_.size(); ++node) {
+    const bool isDown = plan_.faults_.down_(node, seconds);
+    if (isDown == isDown_[node]) {
+      continue;
+    }
+    isDown_[node] = isDown;
+    if (isDown) {
+      StopNode(node);
+    } else {
+      NodeSettings settings = MakeSettings(node, serviceOfNode_[node].name_, plan_);
+      settings.identity_.incarnation_ = { 8 + ++starts_, node + 1 };
+      settings.identity_.generation_ = starts_;
+      nodes_[node] = MakeNodeState(settings, now_);
+      StartNode(node, Announcements());
+    }
+  }
+}
+
+bool
+ChainSimulation::IsCut(std::size_t aFrom, std::size_t aTo) const
+{
+  const double seconds = std::chrono::duration<double>(now_ - start_).count();
+  return sending_ && plan_.faults_.cut_ && plan_.faults_.cut_(aFrom, aTo, seconds);
+}
+
+Duration
+ChainSimulation::DelayBetween(std::size_t aFrom, std::size_t aTo) const
+{
+  const bool isSameDomain = aFrom % plan_.domains_ == aTo % plan_.domains_;
+  return isSameDomain ? kNodeDelay : kNodeDelay + plan_.domainDelay_;
+}
+
+void
+ChainSimulation::ScheduleLoss(std::size_t aRequester,
+                              std::size_t aPeer,
+                              AttemptId aAttempt,
+                              Duration aDelay)
+{
+  Schedule(aDelay, aRequester, PeerLost{ NodeId{ aPeer + 1 }, {}, { aAttempt } });
+}
+
+/** Sends a message between nodes. A lost request or answer ends as a lost connection. */
+void
+ChainSimulation::SendToNode(std::size_t aFrom, std::size_t aTo, EventBody aBody)
+{
+  if (!IsCut(aFrom, aTo) && !isDown_[aTo]) {
+    Schedule(DelayBetween(aFrom, aTo), aTo, std::move(aBody));
+    return;
+  }
+  const Duration delay = isDown_[aTo] ? 2 * kNodeDelay : kSilenceTimeout;
+  if (const auto* toLink = std::get_if<LinkMessageArrived>(&aBody)) {
+    if (const auto* call = std::get_if<CallRequest>(&toLink->message_)) {
+      ScheduleLoss(aFrom, aTo, call->attempt_, delay);
+    }
+  } else if (const auto* toPeer = std::get_if<PeerMessageArrived>(&aBody)) {
+    if (const auto* answer = std::get_if<CallAnswer>(&toPeer->message_)) {
+      ScheduleLoss(aTo, aFrom, answer->attempt_, delay);
+    } else if (const auto* refused = std::get_if<CallRefused>(&toPeer->message_)) {
+      ScheduleLoss(aTo, aFrom, refused->attempt_, delay);
+    }
+  }
+}
+
+/** Whether the receiver is one that refuses requests of other domains and reports free slots. */
+bool
+ChainSimulation::RefuseFalsely(std::size_t aFrom, std::size_t aTo, const PeerMessage& aMessage)
+{
+  const double seconds = std::chrono::duration<double>(now_ - start_).count();
+  const auto* call = std::get_if<CallRequest>(&aMessage);
+  if (call == nullptr || !plan_.faults_.refuses_ || !plan_.faults_.refuses_(aTo, seconds) ||
+      aFrom % plan_.domains_ == aTo % plan_.domains_) {
+    return false;
+  }
+  CallRefused refused{ call->attempt_, { Verdict::kNotRun, Reason::kShedByQueue, std::nullopt } };
+  refused.returnedTokens_ = call->reservedTokens_;
+  refused.load_ = { kHighestAdmissionLevel, serviceOfNode_[aTo].slots_, 0, 0 };
+  Schedule(2 * DelayBetween(aFrom, aTo), aFrom, PeerMessageArrived{ NodeId{ aTo + 1 }, refused });
+  return true;
+}
+
+std::size_t
+ChainSimulation::EntryOf(std::size_t aKind)
+{
+  const auto domain = plan_.kinds_[aKind].entryDomain_;
+  std::size_t node = random_.Next() % nodes_.size();
+  while (domain && (node % plan_.domains_ != *domain || isDown_[node])) {
+    node = random_.Next() % nodes_.size();
+  }
+  return node;
+}
+
 void
 ChainSimulation::Schedule(Duration aDelay, std::size_t aNode, EventBody aBody)
 {
@@ -133,11 +256,18 @@
       continue;
     }
     nextTick_ += kTickInterval;
+    ApplyFaults();
+    const double seconds = std::chrono::duration<double>(now_ - start_).count();
     const bool isHeartbeatDue = now_.time_since_epoch() % std::chrono::seconds(1) < kTickInterval;
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
+      if (isDown_[node]) {
+        continue;
+      }
       if (isHeartbeatDue && nodes_[node].backend_) {
         BackendHeartbeat heartbeat = nodes_[node].backend_->heartbeat_;
         heartbeat.sequence_ += 1;
+        heartbeat.draining_ =
+          sending_ && plan_.faults_.draining_ && plan_.faults_.draining_(node, seconds);
         DeliverEvent(node, BackendHeartbeatReceived{ heartbeat });
       }
       DeliverEvent(node, Tick{});
@@ -148,6 +278,14 @@
 void
 ChainSimulation::DeliverEvent(std::size_t aNode, EventBody aBody)
 {
+  if (isDown_[aNode]) {
+    if (const auto* arrived = std::get_if<LinkMessageArrived>(&aBody)) {
+      if (const auto* call = std::get_if<CallRequest>(&arrived->message_)) {
+        ScheduleLoss(arrived->link_.value_ - 1, aNode, call->attempt_, kNodeDelay);
+      }
+    }
+    return;
+  }
   auto step = Reduce(std::move(nodes_[aNode]), { now_, random_.Next(), 0, std::move(aBody) });
   nodes_[aNode] = std::move(step.state_);
   for (Effect& effect : step.result_) {
@@ -197,7 +335,8 @@
   request.deadline_ = kCallerDeadline;
   request.routed_ =
     RoutedPart{ "host", UriOf(plan_.kinds_[aKind]), {}, "", *request.rootRequestId_ };
-  DeliverEvent(random_.Next() % nodes_.size(),
+  request.body_ = std::string(plan_.kinds_[aKind].bodyBytes_, 'x');
+  DeliverEvent(EntryOf(aKind),
                CallerRequestArrived{ exchange, std::move(request) });
   ScheduleArrival(aKind);
 }
@@ -324,16 +463,18 @@
 {
   const NodeId self = nodes_[aNode].settings_.identity_.id_;
   if (auto* gossip = std::get_if<SendGossip>(&aEffect)) {
-    Schedule(
-      kNodeDelay, std::stoul(gossip->address_), GossipArrived{ std::move(gossip->message_) });
+    SendToNode(aNode, std::stoul(gossip->address_), GossipArrived{ std::move(gossip->message_) });
   } else if (auto* toPeer = std::get_if<SendToPeer>(&aEffect)) {
-    Schedule(kNodeDelay,
-             std::stoul(toPeer->address_),
-             LinkMessageArrived{ LinkId{ aNode + 1 }, self, std::move(toPeer->message_) });
+    const std::size_t target = std::stoul(toPeer->address_);
+    if (!RefuseFalsely(aNode, target, toPeer->message_)) {
+      SendToNode(aNode,
+                 target,
+                 LinkMessageArrived{ LinkId{ aNode + 1 }, self, std::move(toPeer->message_) });
+    }
   } else if (auto* toLink = std::get_if<SendToLink>(&aEffect)) {
-    Schedule(kNodeDelay,
-             toLink->link_.value_ - 1,
-             PeerMessageArrived{ self, std::move(toLink->message_) });
+    SendToNode(aNode,
+               toLink->link_.value_ - 1,
+               PeerMessageArrived{ self, std::move(toLink->message_) });
   } else if (const auto* reply = std::get_if<ReplyToCaller>(&aEffect)) {
     DeliverReply(*reply);
   } else if (const auto* call = std::get_if<CallBackend>(&aEffect)) {
--- a/packages/policy/tests/ChainSimulation.h
+++ b/packages/policy/tests/ChainSimulation.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -37,6 +38,10 @@
   /** Callers' requests per second as a function of the time in seconds; empty for kinds that only
    * backend servers call. */
   std::function<double(double)> rate_ = {};
+  /** Failure domain whose nodes the callers use; nullopt for all nodes. */
+  std::optional<std::uint32_t> entryDomain_ = {};
+  bool idempotent_ = true;
+  std::size_t bodyBytes_ = 0;
 };
 
 struct ChainService
@@ -48,12 +53,28 @@
   std::vector<double> speeds_ = { 1.0 };
 };
 
+/** Faults as functions of the time in seconds. The node with index i is in domain i % domains_. */
+struct ChainFaults
+{
+  /** Messages from the first to the second node are lost. */
+  std::function<bool(std::size_t, std::size_t, double)> cut_ = {};
+  /** The node does not exist; when it returns, it has been restarted. */
+  std::function<bool(std::size_t, double)> down_ = {};
+  std::function<bool(std::size_t, double)> draining_ = {};
+  /** Refuses every request of another failure domain and reports free slots. */
+  std::function<bool(std::size_t, double)> refuses_ = {};
+};
+
 struct ChainPlan
 {
   std::vector<ChainService> services_;
   std::vector<ChainKind> kinds_;
   std::uint32_t domains_ = 1;
   std::uint64_t seed_ = 1;
+  DomainSpillSettings spill_ = {};
+  /** One-way delay between failure domains, in addition to that between nodes. */
+  Duration domainDelay_{ 0 };
+  ChainFaults faults_ = {};
 };
 
 /** Outcomes of the callers' requests of one kind that were sent in one second. */
@@ -82,6 +103,8 @@
    * of the requests sent in these seconds. */
   double WastedShare(int aFrom, int aTo) const;
 
+  const std::vector<NodeState>& Nodes() const { return nodes_; }
+
 private:
   /** A request that a backend server is executing. */
   struct Task
@@ -128,6 +151,16 @@
 
   void Schedule(Duration aDelay, std::size_t aNode, EventBody aBody);
   void ScheduleAction(Duration aDelay, std::function<void()> aAction);
+  AnnouncementsListed Announcements() const;
+  void StartNode(std::size_t aNode, const AnnouncementsListed& aMembers);
+  void StopNode(std::size_t aNode);
+  void ApplyFaults();
+  bool IsCut(std::size_t aFrom, std::size_t aTo) const;
+  Duration DelayBetween(std::size_t aFrom, std::size_t aTo) const;
+  void ScheduleLoss(std::size_t aRequester, std::size_t aPeer, AttemptId aAttempt, Duration aDelay);
+  void SendToNode(std::size_t aFrom, std::size_t aTo, EventBody aBody);
+  bool RefuseFalsely(std::size_t aFrom, std::size_t aTo, const PeerMessage& aMessage);
+  std::size_t EntryOf(std::size_t aKind);
   void DeliverEvent(std::size_t aNode, EventBody aBody);
   void ScheduleArrival(std::size_t aKind);
   void SendArrival(std::size_t aKind);
@@ -152,6 +185,9 @@
   std::uint64_t nextExchange_ = 1;
   std::vector<NodeState> nodes_;
   std::vector<double> speeds_;
+  std::vector<ChainService> serviceOfNode_;
+  std::vector<bool> isDown_;
+  std::uint64_t starts_ = 0;
   std::vector<std::map<RequestId, Task>> tasks_;
   std::priority_queue<Scheduled> queue_;
   std::map<ExchangeId, PendingRequest> pendingRequests_;
--- a/packages/wire/ControlJson.cpp
+++ b/packages/wire/ControlJson.cpp
@@ -366,6 +366,12 @@
   return WriteText(aDocument);
 }
 
+std::string
+ToJson(const SpillDocument& aDocument)
+{
+  return WriteText(aDocument);
+}
+
 std::string
 ToJson(const AuditDocument& aDocument)
 {
@@ -432,6 +438,12 @@
   return ParseText<LoadDocument>(aJson);
 }
 
+tl::expected<SpillDocument, UserError>
+ParseSpillDocument(std::string_view aJson)
+{
+  return ParseText<SpillDocument>(aJson);
+}
+
 tl::expected<AuditDocument, UserError>
 ParseAuditDocument(std::string_view aJson)
 {
--- a/packages/wire/ControlJson.h
+++ b/packages/wire/ControlJson.h
@@ -31,6 +31,8 @@
 std::string
 ToJson(const LoadDocument& aDocument);
 std::string
+ToJson(const SpillDocument& aDocument);
+std::string
 ToJson(const AuditDocument& aDocument);
 std::string
 ToJson(const WhyDocument& aDocument);
@@ -54,6 +56,8 @@
 ParseShedDocument(std::string_view aJson);
 tl::expected<LoadDocument, UserError>
 ParseLoadDocument(std::string_view aJson);
+tl::expected<SpillDocument, UserError>
+ParseSpillDocument(std::string_view aJson);
 tl::expected<AuditDocument, UserError>
 ParseAuditDocument(std::string_view aJson);
 tl::expected<WhyDocument, UserError>
--- a/packages/wire/ControlMembers.h
+++ b/packages/wire/ControlMembers.h
@@ -129,6 +129,36 @@
   aVisit("tickets", aDoc.tickets_);
 }
 
+template<typename Visit>
+void
+VisitMembers(Visit& aVisit, MaybeConst<SpillView> auto& aDoc)
+{
+  aVisit("service", aDoc.service_);
+  aVisit("domain", aDoc.domain_);
+  aVisit("reason", aDoc.reason_);
+  aVisit("requests", aDoc.requests_);
+  aVisit("bytes", aDoc.bytes_);
+}
+
+template<typename Visit>
+void
+VisitMembers(Visit& aVisit, MaybeConst<SpillShare> auto& aDoc)
+{
+  aVisit("service", aDoc.service_);
+  aVisit("domain", aDoc.domain_);
+  aVisit("perMille", aDoc.perMille_);
+  aVisit("refused", aDoc.refused_);
+}
+
+template<typename Visit>
+void
+VisitMembers(Visit& aVisit, MaybeConst<SpillDocument> auto& aDoc)
+{
+  aVisit("maxPercent", aDoc.maxPercent_);
+  aVisit("shares", aDoc.shares_);
+  aVisit("counts", aDoc.counts_);
+}
+
 template<typename Visit>
 void
 VisitMembers(Visit& aVisit, MaybeConst<AuditLine> auto& aDoc)
--- a/packages/wire/tests/ControlJsonTest.cpp
+++ b/packages/wire/tests/ControlJsonTest.cpp
@@ -156,6 +156,21 @@
                                   AnyNumber<std::uint32_t>(),
                                   AnyNumber<std::uint32_t>() },
                     ParseLoadDocument);
+    ExpectRoundTrip(SpillDocument{ *AnyAscii(),
+                                   AnyVector<SpillShare>([] {
+                                     return SpillShare{ *AnyAscii(),
+                                                        *AnyAscii(),
+                                                        AnyNumber<std::uint32_t>(),
+                                                        AnyNumber<std::uint64_t>() };
+                                   }),
+                                   AnyVector<SpillView>([] {
+                                     return SpillView{ *AnyAscii(),
+                                                       *AnyAscii(),
+                                                       *AnyAscii(),
+                                                       AnyNumber<std::uint64_t>(),
+                                                       AnyNumber<std::uint64_t>() };
+                                   }) },
+                    ParseSpillDocument);
     ExpectRoundTrip(WhyDocument{ *AnyAscii(), AnyVector<RootRequestDecision>([] {
                                   return RootRequestDecision{ AnyNumber<std::uint64_t>(),
                                                               *AnyAscii(),
