--- a/packages/ctl/tests/ParserTest.cpp
+++ b/packages/ctl/tests/ParserTest.cpp
@@ -170,7 +170,7 @@
   const auto missing = ParseScript("\tshow ");
   cr_assert_not(missing.has_value());
   cr_assert_eq(RenderSyntaxError(missing.error(), "input"),
-               "input:1:6: expected services, members, config, shed or load, found the end of the "
+               "input:1:6: expected services, members, config, shed, load or spill, found the end of the "
                "statement\n"
                "   show \n"
                "       ^\n");
