Simulate random refusals and returning callers in the call chain

Change: ChainService::refusedShare_, ChainKind::idempotent_, ChainPlan::backendRetryPerMille_ and ChainPlan::returns_. Plans without them draw the same random numbers as before.

--- a/packages/policy/tests/ChainSimulation.cpp
+++ b/packages/policy/tests/ChainSimulation.cpp
@@ -12,6 +12,8 @@
 /** One-way network delay between any two nodes. */
 constexpr Duration kNodeDelay = std::chrono::microseconds(700);
 constexpr Duration kSettleTime = std::chrono::seconds(2);
+/** Time in which a backend server refuses a request. */
+constexpr Duration kRefusalTime = std::chrono::milliseconds(1);
 constexpr Duration kCallerDeadline = std::chrono::seconds(5);
 
 std::string
@@ -33,6 +35,7 @@
     route.kind_.importance_ = kind.importance_;
     route.kind_.extraAttempts_ = 1;
     route.kind_.deadline_ = kind.timeout_;
+    route.kind_.idempotent_ = kind.idempotent_;
     route.parts_ = { { kind.service_, 1 } };
     configuration.routes_.push_back(std::move(route));
   }
@@ -41,19 +44,20 @@
 }
 
 NodeSettings
-MakeSettings(std::size_t aNode, const std::string& aService, std::uint32_t aDomains)
+MakeSettings(std::size_t aNode, const std::string& aService, const ChainPlan& aPlan)
 {
   NodeSettings settings;
   settings.identity_.peerAddress_ = std::to_string(aNode);
   settings.identity_.id_ = NodeId{ aNode + 1 };
   settings.identity_.incarnation_ = { 7, aNode + 1 };
   settings.identity_.service_ = aService;
-  settings.identity_.domain_ = "domain-" + std::to_string(aNode % aDomains);
+  settings.identity_.domain_ = "domain-" + std::to_string(aNode % aPlan.domains_);
   settings.identity_.region_ = "region";
   settings.usesStore_ = true;
   settings.usesTickets_ = false;
   settings.retries_.retrySharePercent_ = 5;
   settings.retries_.retryBurst_ = 1;
+  settings.backendRetries_.sharePerMille_ = aPlan.backendRetryPerMille_;
   return settings;
 }
 
@@ -67,7 +71,7 @@
   for (const ChainService& service : plan_.services_) {
     for (std::uint32_t i = 0; i < service.servers_; ++i) {
       nodes_.push_back(
-        MakeNodeState(MakeSettings(nodes_.size(), service.name_, plan_.domains_), now_));
+        MakeNodeState(MakeSettings(nodes_.size(), service.name_, plan_), now_));
       speeds_.push_back(service.speeds_[i % service.speeds_.size()]);
     }
   }
@@ -188,18 +192,50 @@
 
 void
 ChainSimulation::SendArrival(std::size_t aKind)
+{
+  counts_[{ aKind, Second() }].sent_ += 1;
+  SendRequest(
+    { aKind, Second(), "c" + std::to_string(nextExchange_), now_ + kCallerDeadline, 0 });
+  ScheduleArrival(aKind);
+}
+
+void
+ChainSimulation::SendRequest(PendingRequest aRequest)
 {
   const ExchangeId exchange{ nextExchange_++ };
   CallerRequest request;
-  request.rootRequestId_ = "c" + std::to_string(exchange.value_);
-  pendingRequests_.emplace(exchange, PendingRequest{ aKind, Second(), *request.rootRequestId_ });
-  counts_[{ aKind, Second() }].sent_ += 1;
-  request.deadline_ = kCallerDeadline;
+  request.rootRequestId_ = aRequest.rootRequestId_;
+  request.deadline_ = aRequest.deadline_ - now_;
   request.routed_ =
-    RoutedPart{ "host", UriOf(plan_.kinds_[aKind]), {}, "", *request.rootRequestId_ };
+    RoutedPart{ "host", UriOf(plan_.kinds_[aRequest.kind_]), {}, "", *request.rootRequestId_ };
+  pendingRequests_.emplace(exchange, std::move(aRequest));
   DeliverEvent(random_.Next() % nodes_.size(),
                CallerRequestArrived{ exchange, std::move(request) });
-  ScheduleArrival(aKind);
+}
+
+bool
+ChainSimulation::ReturnsLater(const PendingRequest& aRequest, const Refusal& aRefusal)
+{
+  if (aRequest.returns_ >= plan_.returns_ || !aRefusal.retryAfter_ ||
+      *aRefusal.retryAfter_ > (aRequest.deadline_ - now_) / 3) {
+    return false;
+  }
+  PendingRequest next = aRequest;
+  next.returns_ += 1;
+  ScheduleAction(*aRefusal.retryAfter_, [this, next] { SendRequest(next); });
+  return true;
+}
+
+bool
+ChainSimulation::IsRefusedAtRandom(std::size_t aNode)
+{
+  const std::string& name = nodes_[aNode].settings_.identity_.service_;
+  const auto service =
+    std::find_if(plan_.services_.begin(),
+                 plan_.services_.end(),
+                 [&](const ChainService& aService) { return aService.name_ == name; });
+  const double seconds = std::chrono::duration<double>(now_ - start_).count();
+  return service->refusedShare_ && Random() < service->refusedShare_(seconds);
 }
 
 void
@@ -305,9 +341,13 @@
     EndCall(node, id, isAnswered);
   } else if (const auto pending = pendingRequests_.find(aReply.exchange_);
              pending != pendingRequests_.end()) {
-    ChainCounts& counts = counts_[{ pending->second.kind_, pending->second.second_ }];
     const bool isRefused =
       !aReply.reply_.answer_ && aReply.reply_.outcome_.verdict_ == Verdict::kNotRun;
+    if (isRefused && ReturnsLater(pending->second, aReply.reply_.outcome_)) {
+      pendingRequests_.erase(pending);
+      return;
+    }
+    ChainCounts& counts = counts_[{ pending->second.kind_, pending->second.second_ }];
     (isAnswered ? counts.answered_ : isRefused ? counts.refused_ : counts.failed_) += 1;
     if (const auto work = workOfRootRequest_.find(pending->second.rootRequestId_);
         work != workOfRootRequest_.end()) {
@@ -338,6 +378,10 @@
     DeliverReply(*reply);
   } else if (const auto* call = std::get_if<CallBackend>(&aEffect)) {
     const RequestId id = call->request_.id_;
+    if (IsRefusedAtRandom(aNode)) {
+      Schedule(kRefusalTime, aNode, BackendAnswered{ id, Answer{ 503 }, true });
+      return;
+    }
     Task task;
     task.kind_ = KindIndex(call->request_.request_.kind_);
     task.deadline_ = now_ + call->request_.remaining_;
--- a/packages/policy/tests/ChainSimulation.h
+++ b/packages/policy/tests/ChainSimulation.h
@@ -37,6 +37,7 @@
   /** Callers' requests per second as a function of the time in seconds; empty for kinds that only
    * backend servers call. */
   std::function<double(double)> rate_ = {};
+  bool idempotent_ = true;
 };
 
 struct ChainService
@@ -46,6 +47,9 @@
   std::uint32_t slots_ = 10;
   /** Speeds that are assigned to the backend servers in turn. */
   std::vector<double> speeds_ = { 1.0 };
+  /** Share of their arrivals that the backend servers refuse at random without running them, as a
+   * function of the time in seconds; empty for none. */
+  std::function<double(double)> refusedShare_ = {};
 };
 
 struct ChainPlan
@@ -54,9 +58,14 @@
   std::vector<ChainKind> kinds_;
   std::uint32_t domains_ = 1;
   std::uint64_t seed_ = 1;
+  /** As in BackendRetrySettings. */
+  std::uint32_t backendRetryPerMille_ = 0;
+  /** How often a caller sends a request again that was refused as not run. It waits for the time
+   * that the refusal names, if that is at most a third of the time that it has left. */
+  std::uint32_t returns_ = 0;
 };
 
-/** Outcomes of the callers' requests of one kind that were sent in one second. */
+/** Final outcomes of the callers' requests of one kind that were first sent in one second. */
 struct ChainCounts
 {
   std::uint32_t sent_ = 0;
@@ -117,6 +126,8 @@
     std::size_t kind_ = 0;
     int second_ = 0;
     std::string rootRequestId_;
+    Instant deadline_;
+    std::uint32_t returns_ = 0;
   };
 
   /** Execution time of the backend servers, milliseconds. */
@@ -131,6 +142,9 @@
   void DeliverEvent(std::size_t aNode, EventBody aBody);
   void ScheduleArrival(std::size_t aKind);
   void SendArrival(std::size_t aKind);
+  void SendRequest(PendingRequest aRequest);
+  bool ReturnsLater(const PendingRequest& aRequest, const Refusal& aRefusal);
+  bool IsRefusedAtRandom(std::size_t aNode);
   void Work(std::size_t aNode, RequestId aId, double aShare, std::function<void()> aThen);
   void MakeCalls(std::size_t aNode, RequestId aId);
   void SendCall(std::size_t aNode, RequestId aId, const std::string& aKind);
