Check the keys of callers on the VM of the backend server

Cause: a request from the address of the backend server counted as its call, which needs no key.

Ruled out: the configuration was not read (the log of a node shows 83 accounts and the lease).

Change: IsBackendCall() needs the address and no key; an unreadable key counts as an empty one, which no account has. A caller on the VM that sends no key at all is still taken for the backend server.

--- a/packages/model/CallerRequest.h
+++ b/packages/model/CallerRequest.h
@@ -42,7 +42,8 @@
   bool ticketOnly_ = false;
   /** Set for a request whose route is selected by host and path; service and kind are empty. */
   std::optional<RoutedPart> routed_;
-  /** Key of a client account as the caller sent it; nullopt without one. */
+  /** Key of a client account as the caller sent it; empty if it can't be read, nullopt without one.
+   */
   std::optional<std::string> key_;
   /** Header fields that name a client account or its key, taken out of the forwarded ones. They are
    * forwarded only where the configuration has no accounts. */
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "logservice/LogProtocol.h"
+#include "policy/CallerRequests.h"
 #include "policy/Lifecycle.h"
 #include "policy/RequestMemory.h"
 #include "policy/RouteTable.h"
@@ -382,7 +383,7 @@
     return std::nullopt;
   }
   request->callerAddress_ = aPeer;
-  request->fromBackend_ = aPeer == settings_.backend_.host().toString();
+  request->fromBackend_ = IsBackendCall(*request, settings_.backend_.host().toString());
   return std::move(*request);
 }
 
--- a/packages/policy/CallerRequests.cpp
+++ b/packages/policy/CallerRequests.cpp
@@ -55,6 +55,12 @@
 
 } // namespace
 
+bool
+IsBackendCall(const CallerRequest& aRequest, std::string_view aBackendAddress)
+{
+  return aRequest.callerAddress_ == aBackendAddress && !aRequest.key_;
+}
+
 std::optional<Refusal>
 ValidateCallerRequest(const NodeState& aState,
                       const ReduceContext& aContext,
--- a/packages/policy/CallerRequests.h
+++ b/packages/policy/CallerRequests.h
@@ -6,8 +6,15 @@
 
 #include "policy/NodeState.h"
 
+#include <string_view>
+
 namespace fulmarway {
 
+/** Whether a request is a call of the local backend server. Callers on its VM have the same address
+ * but send a key where there are client accounts; a backend server never sends one. */
+bool
+IsBackendCall(const CallerRequest& aRequest, std::string_view aBackendAddress);
+
 /** Validates a caller's request, for which the process needs aBytes. Returns the refusal, or
  * nullopt when a call may be made for it. */
 std::optional<Refusal>
--- a/packages/policy/tests/AccountKeysTest.cpp
+++ b/packages/policy/tests/AccountKeysTest.cpp
@@ -3,6 +3,7 @@
  * them.
  */
 #include "policy/AccountKeys.h"
+#include "policy/CallerRequests.h"
 #include "policy/tests/RoutedSimulation.h"
 
 #include <criterion/criterion.h>
@@ -111,6 +112,20 @@
   }
 }
 
+/** Guards against callers on the VM of the backend server that are taken for it, so that their keys
+ * are not checked. */
+Test(account_keys, caller_with_a_key_is_not_the_backend_server)
+{
+  CallerRequest request = MakeCallerRequest("/safe/1", "k-anna");
+  request.callerAddress_ = "10.0.0.1";
+  cr_expect_not(IsBackendCall(request, "10.0.0.1"));
+  request.key_ = "";
+  cr_expect_not(IsBackendCall(request, "10.0.0.1"), "unreadable key");
+  request.key_.reset();
+  cr_expect(IsBackendCall(request, "10.0.0.1"));
+  cr_expect_not(IsBackendCall(request, "10.0.0.2"));
+}
+
 /** Guards against fields of clients that get lost where there are no accounts, and against keys
  * that are asked for there. */
 Test(account_keys, fields_pass_through_without_accounts)
