--- a/review/standins-2/ahead_limit.cc
+++ b/review/standins-2/ahead_limit.cc
@@ -59,6 +59,7 @@
         if (!SendAll(fd, request)) {
           return;
         }
+        SleepMs(1);
       }
     });
   }
@@ -108,8 +109,9 @@
   int lost = 0;
   for (const Client& client : clients) {
     int passedOn = 0;
-    // With an answer before the close, the requests behind it may count as not read.
-    if (client.end_ == ReadEnd::kClosed || client.end_ == ReadEnd::kReset) {
+    // A connection counts if the first request without an answer was passed on.
+    if ((client.end_ == ReadEnd::kClosed || client.end_ == ReadEnd::kReset) &&
+        !RunsOf(client.ids_[client.answered_]).empty()) {
       for (std::size_t i = client.answered_; i < client.ids_.size(); ++i) {
         passedOn += RunsOf(client.ids_[i]).empty() ? 0 : 1;
       }
