--- a/review/standins-2/ahead_limit.cc
+++ b/review/standins-2/ahead_limit.cc
@@ -1,4 +1,4 @@
-// Clients that send further safe requests before the first one has been answered. Counts the
+// Clients that send further safe requests before the first request has been answered. Counts the
 // connections that the node closes without an answer to a request that it has passed on.
 #include "harness.hpp"
 
@@ -14,6 +14,15 @@
 /** Of a body of 600 KB, within maxBodyBytes (64 MiB). */
 constexpr int kRequestsWithBodies = 3;
 constexpr int kBodyBytes = 600'000;
+/** Behind a request that may run once: two safe requests of 10 KB. */
+constexpr int kShortBodyBytes = 10'000;
+
+enum class Group
+{
+  kFields,
+  kBodies,
+  kBehindWrite,
+};
 
 struct Client
 {
@@ -22,9 +31,30 @@
   ReadEnd end_ = ReadEnd::kMessage;
 };
 
-/** aSendsAhead: all requests at once; otherwise each after the answer to the one before it. */
+ClientRequest
+MakeRequest(Group aGroup, int aNumber)
+{
+  ClientRequest request{ "GET", "beta.example", "/read/x", "", 5000, kWorkMs };
+  if (aGroup == Group::kFields) {
+    request.id_ = Deployment::NewId("field");
+    request.extraFields_ = "Cookie: " + std::string(kFieldBytes, 'c') + "\r\n";
+  } else if (aGroup == Group::kBodies) {
+    request.id_ = Deployment::NewId("body");
+    request.method_ = "POST";
+    request.body_ = std::string(kBodyBytes, 'b');
+  } else {
+    request.id_ = Deployment::NewId(aNumber == 0 ? "write" : "behind");
+    request.method_ = "POST";
+    request.path_ = aNumber == 0 ? "/write/x" : "/read/x";
+    request.body_ = std::string(aNumber == 0 ? 500 : kShortBodyBytes, 'w');
+  }
+  return request;
+}
+
+/** aSendsAhead: all requests, a millisecond apart, without waiting for an answer; otherwise each
+ * after the answer to the one before it. */
 void
-Talk(const Deployment& aDeployment, Client& aClient, bool aHasBody, bool aSendsAhead)
+Talk(const Deployment& aDeployment, Client& aClient, Group aGroup, bool aSendsAhead)
 {
   const int fd = Connect(aDeployment.client_, aDeployment.machines_[0].Outbound());
   if (fd < 0) {
@@ -32,15 +62,10 @@
   }
   Reader reader(fd);
   std::vector<std::string> bytes;
-  const int count = aHasBody ? kRequestsWithBodies : kRequestsWithFields;
+  const int count = aGroup == Group::kFields ? kRequestsWithFields : kRequestsWithBodies;
   for (int i = 0; i < count; ++i) {
-    aClient.ids_.push_back(Deployment::NewId(aHasBody ? "body" : "field"));
-    ClientRequest request{ aHasBody ? "POST" : "GET", "beta.example", "/read/x", aClient.ids_.back(), 5000, kWorkMs };
-    if (aHasBody) {
-      request.body_ = std::string(kBodyBytes, 'b');
-    } else {
-      request.extraFields_ = "Cookie: " + std::string(kFieldBytes, 'c') + "\r\n";
-    }
+    const ClientRequest request = MakeRequest(aGroup, i);
+    aClient.ids_.push_back(request.id_);
     bytes.push_back(request.Bytes());
   }
   // The connection is a kept one: it has carried a request before.
@@ -49,17 +74,17 @@
   if (reader.Read(answer, Now() + 3000) != ReadEnd::kMessage) {
     CannotRun("no answer to the first request of a connection");
   }
-  const double until = Now() + 9000;
+  const double until = Now() + 15'000;
   Record("send    %s to %s, %s", aClient.ids_.front().c_str(), aClient.ids_.back().c_str(),
          aSendsAhead ? "all at once" : "one after the other");
   std::thread sender;
   if (aSendsAhead) {
-    sender = std::thread([&bytes, fd] {
+    sender = std::thread([&bytes, fd, aGroup] {
       for (const std::string& request : bytes) {
         if (!SendAll(fd, request)) {
           return;
         }
-        SleepMs(1);
+        SleepMs(aGroup == Group::kBehindWrite ? 50 : 1);
       }
     });
   }
@@ -94,11 +119,11 @@
   Deployment deployment;
   deployment.Start();
 
-  std::vector<Client> clients(2 * kConnections);
+  std::vector<Client> clients(3 * kConnections);
   std::vector<std::thread> threads;
-  for (int i = 0; i < 2 * kConnections; ++i) {
-    threads.emplace_back([&, i] { Talk(deployment, clients[i], i >= kConnections, HasTrouble()); });
-    SleepMs(700);
+  for (int i = 0; i < 3 * kConnections; ++i) {
+    threads.emplace_back([&, i] { Talk(deployment, clients[i], static_cast<Group>(i / kConnections), HasTrouble()); });
+    SleepMs(500);
   }
   for (std::thread& thread : threads) {
     thread.join();
@@ -124,7 +149,7 @@
     lost += passedOn;
   }
   Record("%d connections, %d closed without an answer to a request that was passed on, %d such "
-         "requests", 2 * kConnections, closed, lost);
+         "requests", 3 * kConnections, closed, lost);
   // LOST: more than three times.
   Finish(closed > 3 ? 1 : 0);
 }
