--- a/review/standins-2/late_after_leave.cc
+++ b/review/standins-2/late_after_leave.cc
@@ -10,10 +10,12 @@
 constexpr double kRestartMs = 300;
 constexpr double kDrainMs = 2000;
 constexpr double kStableMs = 3000;
+/** When the node is killed again, after the acknowledgement of the leave. */
+constexpr double kSecondKillMs = 1500;
 /** When the late heartbeat arrives, after the acknowledgement of the leave. */
-constexpr double kLateMs = 4000;
+constexpr double kLateMs = 3000;
 /** When the backend server ends, after the acknowledgement. */
-constexpr double kExitMs = 7000;
+constexpr double kExitMs = 8000;
 
 double
 Restart(Deployment& aDeployment, std::size_t aMachine)
@@ -73,7 +75,7 @@
   }
   Record("leave is acknowledged");
   if (HasTrouble()) {
-    SleepMs(100);
+    SleepUntil(*acknowledged + kSecondKillMs);
     startedAt = Restart(deployment, kMachine);
     SleepUntil(*acknowledged + kLateMs);
     const bool isAcknowledged = leaving.SendLate(heartbeat);
