--- a/review/standins-2/ahead_limit.cc
+++ b/review/standins-2/ahead_limit.cc
@@ -79,7 +79,7 @@
   }
   const double until = Now() + 15'000;
   Record("send    %s to %s, %s", aClient.ids_.front().c_str(), aClient.ids_.back().c_str(),
-         aSendsAhead ? "all at once" : "one after the other");
+         aSendsAhead ? "without waiting for answers" : "one after the other");
   std::thread sender;
   if (aSendsAhead) {
     sender = std::thread([&bytes, fd, aGroup] {
--- a/review/standins-2/late_after_leave.cc
+++ b/review/standins-2/late_after_leave.cc
@@ -50,6 +50,7 @@
         const bool isWrite = n % 2 == 0;
         const ClientRequest request{ isWrite ? "POST" : "GET", "beta.example",
                                      isWrite ? "/write/x" : "/read/x", Deployment::NewId("r"), 5000, 50 };
+        Record("send    %s to %s", request.id_.c_str(), machine.name_.c_str());
         const Reply reply = Ask(deployment.client_, machine.Outbound(), request, 6000);
         Record("answer  %s: %s %d", request.id_.c_str(), Name(reply.end_),
                reply.IsAnswer() ? reply.message_.Status() : 0);
