Let input that cannot be read yet wait, in place of closing its connection

Cause: while the next request cannot be read (8 in progress, 1 MiB of bodies, or one that may run once only), HttpServer::HandleReady() went on reading to notice the end of the connection, and closed it above the size of one head. Ruled out: a wrong count of what is in progress (it is not in the input), and closes by backend servers or peers (with a pause in place of this close, all 24 connections are answered).

Change: above 1 MiB of input (one head while the connections hold 16 MiB together) the reading of the socket pauses. Input sent ahead can be given back under the memory limit: its first request is refused in its place. A connection that closes with unread input lingers, since the reset would take the rest of the last reply with it.

--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -95,7 +95,7 @@
       connection.lastUsedAt_ = aNow;
       poller_.Add({ settings_.connectionRole_, id }, socket);
       connections_.emplace(id, std::move(connection));
-      Recount(id);
+      Update(id, aNow);
     } catch (const Poco::Exception&) {
       // No more pending connections, or accepting one failed, for example for lack of file
       // descriptors. The poller reports the listener again while connections are pending.
@@ -114,35 +114,55 @@
     return events;
   }
   Connection& connection = found->second;
-  connection.lastUsedAt_ = aNow;
+  if (aReady.writable_ || !IsInputDropped(connection)) {
+    connection.lastUsedAt_ = aNow;
+  }
   // Further requests beside those in progress are parsed first, so that input does not grow with
   // what a client sends. At the latest with kMaxRequestsOfConnection in progress it is read and
   // limited.
-  const bool isParsedFirst =
-    connection.hasInputAhead_ && !connection.exchanges_.empty() && CanReadAhead(connection);
-  if (aReady.readable_ && !isParsedFirst) {
-    if (connection.channel_.Read(connection.input_) == ChannelStatus::kClosed) {
-      CloseConnection(id, events);
-      return events;
-    }
-    const std::size_t limit =
-      limits_.maxHeaderBytes_ + (IsBodyExpected(connection) ? limits_.maxBodyBytes_ : 0);
-    const bool isBusy = connection.hasInputAhead_ || !CanReadAhead(connection);
-    if (isBusy && connection.input_.size() > limit) {
-      // The client keeps sending without waiting for its reply. This input is only buffered until
-      // the reply is written, so it is limited to the size of one head, or the rest of one body.
-      CloseConnection(id, events);
-      return events;
-    }
+  const bool isParsedFirst = connection.hasInputAhead_ && CanReadAhead(connection);
+  if (aReady.readable_ && !isParsedFirst && Receive(connection) == ChannelStatus::kClosed) {
+    CloseConnection(id, events);
+    return events;
   }
-  if (Flush(id, events)) {
+  if (Flush(id, aNow, events)) {
     ReadRequest(id, aNow, events);
-    Flush(id, events);
+    Flush(id, aNow, events);
   }
-  Recount(id);
+  Update(id, aNow);
   return events;
 }
 
+ChannelStatus
+HttpServer::Receive(Connection& aConnection)
+{
+  if (IsInputDropped(aConnection)) {
+    std::string dropped;
+    const ChannelStatus status = aConnection.channel_.Read(dropped);
+    aConnection.hasDroppedInput_ = aConnection.hasDroppedInput_ || !dropped.empty();
+    return status;
+  }
+  if (CanReadAhead(aConnection)) {
+    return aConnection.channel_.Read(aConnection.input_);
+  }
+  const std::size_t held = aConnection.input_.size();
+  const std::size_t limit = InputLimit(aConnection);
+  if (held < limit) {
+    return aConnection.channel_.Read(aConnection.input_, limit - held);
+  }
+  return aConnection.channel_.HasPeerClosed() ? ChannelStatus::kClosed : ChannelStatus::kOpen;
+}
+
+std::size_t
+HttpServer::InputLimit(const Connection& aConnection) const
+{
+  const std::size_t head = limits_.maxHeaderBytes_;
+  if (IsBodyExpected(aConnection)) {
+    return head + limits_.maxBodyBytes_;
+  }
+  return heldBytes_ < kHeldBytesWithInputAhead ? std::max(head, kMaxInputAhead) : head;
+}
+
 std::size_t
 HttpServer::WaitingBytes(const Connection& aConnection)
 {
@@ -188,6 +208,24 @@
          (exchanges.empty() || !exchanges.back().isAnnounced_);
 }
 
+bool
+HttpServer::IsInputDropped(const Connection& aConnection)
+{
+  return aConnection.closing_ || aConnection.refusal_;
+}
+
+bool
+HttpServer::HasUnreadRequest(const Connection& aConnection)
+{
+  return aConnection.requestStartedAt_ || !aConnection.input_.empty();
+}
+
+Instant
+HttpServer::UnreadSince(const Connection& aConnection)
+{
+  return aConnection.requestStartedAt_.value_or(aConnection.lastUsedAt_);
+}
+
 bool
 HttpServer::IsReceiving(const Connection& aConnection)
 {
@@ -339,12 +377,12 @@
   Connection& connection = connections_.at(*id);
   connection.exchanges_.clear(); // An announced request is the only one in progress.
   Continue(*id, connection);
-  if (Flush(*id, events)) {
+  if (Flush(*id, aNow, events)) {
     // A client that does not wait may have sent the rest, for which no event comes.
     ReadRequest(*id, aNow, events);
-    Flush(*id, events);
+    Flush(*id, aNow, events);
   }
-  Recount(*id);
+  Update(*id, aNow);
   return events;
 }
 
@@ -381,6 +419,7 @@
   aConnection.input_ = {};
   aConnection.progress_ = {};
   aConnection.waiting_.reset();
+  aConnection.requestStartedAt_.reset();
   Write(aId, aConnection, std::move(aReply));
 }
 
@@ -405,7 +444,7 @@
         exchange.reply_ = WaitingReply{ aHead, std::string(aBody) };
       }
     }
-    Recount(*id);
+    Update(*id, aNow);
     return events;
   }
   WriteReply(*id, connection, aHead, aBody, events);
@@ -416,10 +455,10 @@
   if (exchanges.empty() && connection.refusal_) {
     CloseAfter(*id, connection, std::move(*connection.refusal_));
   }
-  if (Flush(*id, events)) {
+  if (Flush(*id, aNow, events)) {
     QueueInputAhead(*id, connection);
   }
-  Recount(*id);
+  Update(*id, aNow);
   return events;
 }
 
@@ -466,14 +505,14 @@
   if (found != connections_.end()) {
     found->second.hasInputAhead_ = false;
     ReadRequest(id, aNow, events);
-    Flush(id, events);
-    Recount(id);
+    Flush(id, aNow, events);
+    Update(id, aNow);
   }
   return events;
 }
 
 void
-HttpServer::Recount(std::uint64_t aId)
+HttpServer::Update(std::uint64_t aId, Instant aNow)
 {
   const auto found = connections_.find(aId);
   if (found == connections_.end()) {
@@ -491,14 +530,37 @@
     connection.heldBytes_ += waiting->body_.capacity() + waiting->head_.size() * kParsedFieldBytes;
   }
   heldBytes_ += connection.heldBytes_;
+  UpdateReading(aId, connection, aNow);
+}
+
+void
+HttpServer::UpdateReading(std::uint64_t aId, Connection& aConnection, Instant aNow)
+{
+  const bool pauses = !IsInputDropped(aConnection) && !CanReadAhead(aConnection) &&
+                      aConnection.input_.size() >= InputLimit(aConnection);
+  if (pauses == aConnection.isPaused_) {
+    return;
+  }
+  aConnection.isPaused_ = pauses;
+  pauses_ += pauses ? 1 : 0;
+  poller_.SetWantsRead({ settings_.connectionRole_, aId }, !pauses);
+  if (!pauses && aConnection.requestStartedAt_) {
+    // The client could not send the rest of its request before.
+    aConnection.requestStartedAt_ = aNow;
+  }
 }
 
 bool
 HttpServer::EvictSilent(Instant aNow)
 {
+  HttpServerEvents ignored; // Neither kind of connection has a request that was passed on.
   auto silent = connections_.end();
   for (auto next = connections_.begin(); next != connections_.end(); ++next) {
     const Connection& connection = next->second;
+    if (connection.lingersUntil_) {
+      CloseConnection(next->first, ignored);
+      return true;
+    }
     const bool isAlone =
       connection.exchanges_.empty() || connection.exchanges_.front().isAnnounced_;
     const bool isSilent =
@@ -511,12 +573,12 @@
   if (silent == connections_.end()) {
     return false;
   }
-  RefuseIncomplete(silent->first);
+  RefuseIncomplete(silent->first, aNow);
   return true;
 }
 
 void
-HttpServer::RefuseIncomplete(std::uint64_t aId)
+HttpServer::RefuseIncomplete(std::uint64_t aId, Instant aNow)
 {
   Connection& connection = connections_.at(aId);
   const auto& exchanges = connection.exchanges_;
@@ -525,12 +587,12 @@
   RefuseInOrder(aId, connection, std::string(kRefusal));
   if (isBehindReplies) {
     connection.requestStartedAt_.reset();
-    Recount(aId);
+    Update(aId, aNow);
     return;
   }
   // The request has no exchange, or its owner only decides about its body.
   HttpServerEvents ignored;
-  if (Flush(aId, ignored)) {
+  if (Flush(aId, aNow, ignored)) {
     // The reply does not fit into the buffer of the socket. Waiting for the client would keep its
     // slot.
     CloseConnection(aId, ignored);
@@ -553,9 +615,9 @@
   for (auto next = connections_.begin(); next != connections_.end(); ++next) {
     const Connection& connection = next->second;
     const std::size_t pending = connection.channel_.PendingBytes() + WaitingBytes(connection);
-    if (connection.requestStartedAt_ && connection.heldBytes_ >= aMinBytes &&
+    if (HasUnreadRequest(connection) && connection.heldBytes_ >= aMinBytes &&
         (incomplete == connections_.end() ||
-         *connection.requestStartedAt_ < *incomplete->second.requestStartedAt_)) {
+         UnreadSince(connection) < UnreadSince(incomplete->second))) {
       incomplete = next;
     }
     if (pending >= aMinBytes && pending > unreadBytes) {
@@ -566,8 +628,8 @@
   if (incomplete != connections_.end()) {
     spdlog::warn("event=incomplete_request_refused held_bytes={} age_us={}",
                  incomplete->second.heldBytes_,
-                 (aNow - *incomplete->second.requestStartedAt_).count());
-    RefuseIncomplete(incomplete->first);
+                 (aNow - UnreadSince(incomplete->second)).count());
+    RefuseIncomplete(incomplete->first, aNow);
     return true;
   }
   if (unread == connections_.end()) {
@@ -586,15 +648,18 @@
 }
 
 bool
-HttpServer::Flush(std::uint64_t aId, HttpServerEvents& aEvents)
+HttpServer::Flush(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents)
 {
   const auto found = connections_.find(aId);
   TcpChannel& channel = found->second.channel_;
   const bool isOpen = channel.Flush() == ChannelStatus::kOpen;
-  if (!isOpen || (found->second.closing_ && channel.PendingBytes() == 0)) {
+  if (!isOpen) {
     CloseConnection(aId, aEvents);
     return false;
   }
+  if (found->second.closing_ && channel.PendingBytes() == 0 && !Linger(aId, aNow, aEvents)) {
+    return false;
+  }
   poller_.SetWantsWrite({ settings_.connectionRole_, aId }, channel.WantsWrite());
   return true;
 }
@@ -610,6 +675,22 @@
   connections_.erase(found);
 }
 
+bool
+HttpServer::Linger(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents)
+{
+  Connection& connection = connections_.at(aId);
+  if (connection.lingersUntil_) {
+    return true;
+  }
+  if (Receive(connection) == ChannelStatus::kClosed || !connection.hasDroppedInput_) {
+    CloseConnection(aId, aEvents);
+    return false;
+  }
+  connection.channel_.ShutdownSend();
+  connection.lingersUntil_ = aNow + kLingerTime;
+  return true;
+}
+
 void
 HttpServer::StopAccepting()
 {
@@ -628,15 +709,25 @@
          !aConnection.progress_.head_;
 }
 
-void
+HttpServerEvents
 HttpServer::CloseIdle(Instant aNow)
 {
   std::vector<std::uint64_t> idle;
   std::vector<std::uint64_t> overdue;
   for (const auto& [id, connection] : connections_) {
+    if (connection.isPaused_ && connection.channel_.HasPeerClosed()) {
+      idle.push_back(id);
+      continue;
+    }
     if (!connection.exchanges_.empty()) {
       continue;
     }
+    if (connection.lingersUntil_) {
+      if (aNow >= *connection.lingersUntil_) {
+        idle.push_back(id);
+      }
+      continue;
+    }
     if (IsHeadOverdue(connection, aNow)) {
       overdue.push_back(id);
       continue;
@@ -649,15 +740,16 @@
       idle.push_back(id);
     }
   }
-  HttpServerEvents ignored; // None of these connections has an open exchange.
+  HttpServerEvents events;
   for (const std::uint64_t id : overdue) {
     Refuse(id, connections_.at(id), { 408, { "head", "took longer than the limit" } });
-    Flush(id, ignored);
-    Recount(id);
+    Flush(id, aNow, events);
+    Update(id, aNow);
   }
   for (const std::uint64_t id : idle) {
-    CloseConnection(id, ignored);
+    CloseConnection(id, events);
   }
+  return events;
 }
 
 bool
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -44,6 +44,15 @@
 /** No further request of a connection is read while the bodies of those in progress and the replies
  * that wait for an earlier one hold this much: a quarter of the longest body. */
 inline constexpr std::size_t kMaxBytesAhead = 1U << 20;
+/** Input of a connection that is received while its next request can not be read yet. The reading
+ * of the socket pauses above it, so that the client waits. */
+inline constexpr std::size_t kMaxInputAhead = 1U << 20;
+/** While the connections of a server hold this much together, each receives only the size of one
+ * head in place of kMaxInputAhead. */
+inline constexpr std::size_t kHeldBytesWithInputAhead = 16U << 20;
+/** How long a connection is kept after its last reply if the client has sent more than was read.
+ * Closing it at once would reset it, and the client could lose the reply. */
+inline constexpr Duration kLingerTime = std::chrono::seconds(2);
 
 /** Upper bound of CallerLimits::maxHeaderBytes_: a request with headers of this size still fits
  * into the frame that forwards it to another node. */
@@ -118,8 +127,9 @@
   void StopAccepting();
 
   /** Closes connections that are idle, send a request too slowly or do not read their reply, after
-   * the timeout for each. After StopAccepting() it closes idle connections at once. */
-  void CloseIdle(Instant aNow);
+   * the timeout for each, and those whose client has left while their reading paused. After
+   * StopAccepting() it closes idle connections at once. */
+  HttpServerEvents CloseIdle(Instant aNow);
 
   /** The bound address, with the port that the system chose if port 0 was requested. */
   Poco::Net::SocketAddress Address() const { return listener_.address(); }
@@ -143,6 +153,9 @@
 
   std::size_t ConnectionCount() const { return connections_.size(); }
 
+  /** How often the reading of a connection paused. */
+  std::uint64_t Pauses() const { return pauses_; }
+
   /** Whether replies are still in output buffers. */
   bool HasPendingOutput() const;
 
@@ -180,6 +193,12 @@
     /** Refusal of the request after those in progress; the connection is closed after it. */
     std::optional<std::string> refusal_ = {};
     bool closing_ = false;
+    /** The socket is not polled for reading, since the next request can not be read yet. */
+    bool isPaused_ = false;
+    /** Input was dropped that came behind the last request that is answered. */
+    bool hasDroppedInput_ = false;
+    /** The last reply was sent. Input is dropped until this time. */
+    std::optional<Instant> lingersUntil_ = {};
     /** The client of the incomplete request was told to send its body. */
     bool isContinued_ = false;
     /** There is input that is still to be parsed by ReadRequestSentAhead(). */
@@ -195,6 +214,16 @@
   static std::size_t WaitingBytes(const Connection& aConnection);
   static bool CanReadAhead(const Connection& aConnection);
   static bool IsBodyExpected(const Connection& aConnection);
+  /** Whether no further request of the connection is read, so that its input is dropped. */
+  static bool IsInputDropped(const Connection& aConnection);
+  /** Input of a connection that may be held while its next request can not be read. */
+  std::size_t InputLimit(const Connection& aConnection) const;
+  /** Receives input as far as it may be held, or drops it. */
+  ChannelStatus Receive(Connection& aConnection);
+  /** Whether there is a request, or a part of one, that was not passed on. */
+  static bool HasUnreadRequest(const Connection& aConnection);
+  /** For a connection with HasUnreadRequest(): since when, or a later time. */
+  static Instant UnreadSince(const Connection& aConnection);
   /** Whether the client is due to send the rest of a request, and nothing delays its reading. */
   static bool IsReceiving(const Connection& aConnection);
   /** Parses the next request once the replies before it are completely written. */
@@ -227,19 +256,23 @@
   void QueueInputAhead(std::uint64_t aId, Connection& aConnection);
   void Write(std::uint64_t aId, Connection& aConnection, std::string aBytes);
   void CloseConnection(std::uint64_t aId, HttpServerEvents& aEvents);
-  /** Updates the memory of the connection, if it is still open. */
-  void Recount(std::uint64_t aId);
+  /** Closes the connection after its last reply. Returns whether it is kept until the client has
+   * received that. */
+  bool Linger(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
+  /** Updates the memory of the connection and whether it is read, if it is still open. */
+  void Update(std::uint64_t aId, Instant aNow);
+  void UpdateReading(std::uint64_t aId, Connection& aConnection, Instant aNow);
   /** ReleaseMemory() of messages that hold aMinBytes or more. */
   bool ReleaseMessage(Instant aNow, std::size_t aMinBytes, HttpServerEvents& aEvents);
   /** Replies "not run" to an incomplete or waiting request and closes its connection, after the
    * replies before it. */
-  void RefuseIncomplete(std::uint64_t aId);
-  /** Makes room for another connection by one that has been silent within a request. Returns
-   * whether there was one. */
+  void RefuseIncomplete(std::uint64_t aId, Instant aNow);
+  /** Makes room for another connection by one that lingers or has been silent within a request.
+   * Returns whether there was one. */
   bool EvictSilent(Instant aNow);
   /** Writes buffered output; closes the connection on an error, or when closing_ is set and all
    * output is written. Returns whether the connection is still open. */
-  bool Flush(std::uint64_t aId, HttpServerEvents& aEvents);
+  bool Flush(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
 
   bool IsHeadOverdue(const Connection& aConnection, Instant aNow) const;
   void Refuse(std::uint64_t aId, Connection& aConnection, const InvalidRequest& aInvalid);
@@ -261,6 +294,7 @@
   /** Connections that may hold a request that was sent ahead; some may be closed. */
   std::deque<std::uint64_t> inputAhead_;
   std::size_t heldBytes_ = 0;
+  std::uint64_t pauses_ = 0;
 };
 
 } // namespace fulmarway
--- a/packages/node/Metrics.cpp
+++ b/packages/node/Metrics.cpp
@@ -210,6 +210,9 @@
   add("released_connections_total",
       "Connections of callers that were given up for their memory",
       aLoop.releasedConnections_);
+  add("caller_pauses_total",
+      "Times at which the reading of a connection of a caller paused",
+      aLoop.callerPauses_);
   add("invalid_peer_messages_total", "Dropped TCP messages", aLoop.invalidPeerMessages_);
   add("invalid_datagrams_total", "Dropped UDP messages", aLoop.invalidDatagrams_);
   add("undecodable_log_records_total", "Log records passed over", aLoop.undecodableLogRecords_);
--- a/packages/node/Metrics.h
+++ b/packages/node/Metrics.h
@@ -31,6 +31,8 @@
   std::uint64_t releasedConnections_ = 0;
   /** Answers of servers that were malformed, truncated or of an unknown status. */
   std::uint64_t invalidAnswers_ = 0;
+  /** Times at which the reading of a connection of a caller paused. */
+  std::uint64_t callerPauses_ = 0;
   HeldBytes held_;
 };
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -256,10 +256,10 @@
   if (store_) {
     store_->Advance(now_);
   }
-  callers_.CloseIdle(now_);
-  admin_.CloseIdle(now_);
+  HandleCallerEvents(callers_.CloseIdle(now_));
+  HandleAdminEvents(admin_.CloseIdle(now_));
   if (heartbeats_) {
-    heartbeats_->CloseIdle(now_);
+    HandleHeartbeatEvents(heartbeats_->CloseIdle(now_));
   } else {
     CheckBackend();
   }
@@ -419,6 +419,7 @@
   LoopCounters counters = counters_;
   counters.invalidPeerMessages_ = peers_.InvalidMessages();
   counters.callerConnections_ = callers_.ConnectionCount();
+  counters.callerPauses_ = callers_.Pauses();
   counters.held_ = held_;
   counters.droppedLogLines_ = droppedLogLines_();
   return counters;
--- a/packages/node/Poller.cpp
+++ b/packages/node/Poller.cpp
@@ -9,7 +9,7 @@
 void
 Poller::Add(const SocketKey& aKey, const Poco::Net::Socket& aSocket)
 {
-  entries_.insert_or_assign(aKey, Entry{ aSocket, false });
+  entries_.insert_or_assign(aKey, Entry{ aSocket });
   keys_.insert_or_assign(aSocket, aKey);
   pollSet_.add(aSocket, PollSet::POLL_READ | PollSet::POLL_ERROR);
 }
@@ -26,16 +26,32 @@
   entries_.erase(found);
 }
 
+void
+Poller::SetWantsRead(const SocketKey& aKey, bool aWantsRead)
+{
+  const auto found = entries_.find(aKey);
+  if (found != entries_.end() && found->second.wantsRead_ != aWantsRead) {
+    found->second.wantsRead_ = aWantsRead;
+    Update(found->second);
+  }
+}
+
 void
 Poller::SetWantsWrite(const SocketKey& aKey, bool aWantsWrite)
 {
   const auto found = entries_.find(aKey);
-  if (found == entries_.end() || found->second.wantsWrite_ == aWantsWrite) {
-    return;
+  if (found != entries_.end() && found->second.wantsWrite_ != aWantsWrite) {
+    found->second.wantsWrite_ = aWantsWrite;
+    Update(found->second);
   }
-  found->second.wantsWrite_ = aWantsWrite;
-  const int mode = PollSet::POLL_READ | PollSet::POLL_ERROR;
-  pollSet_.update(found->second.socket_, aWantsWrite ? mode | PollSet::POLL_WRITE : mode);
+}
+
+void
+Poller::Update(const Entry& aEntry)
+{
+  pollSet_.update(aEntry.socket_,
+                  PollSet::POLL_ERROR | (aEntry.wantsRead_ ? PollSet::POLL_READ : 0) |
+                    (aEntry.wantsWrite_ ? PollSet::POLL_WRITE : 0));
 }
 
 std::vector<ReadySocket>
--- a/packages/node/Poller.h
+++ b/packages/node/Poller.h
@@ -52,12 +52,15 @@
 class Poller
 {
 public:
-  /** The socket is polled for reading until Remove(). */
+  /** The socket is polled for reading until Remove() or SetWantsRead(). */
   void Add(const SocketKey& aKey, const Poco::Net::Socket& aSocket);
 
   /** Unknown keys are ignored. */
   void Remove(const SocketKey& aKey);
 
+  /** Starts or stops polling the socket for reading. Errors are still reported, as readable. */
+  void SetWantsRead(const SocketKey& aKey, bool aWantsRead);
+
   /** Starts or stops polling the socket for writing. */
   void SetWantsWrite(const SocketKey& aKey, bool aWantsWrite);
 
@@ -68,9 +71,12 @@
   struct Entry
   {
     Poco::Net::Socket socket_;
+    bool wantsRead_ = true;
     bool wantsWrite_ = false;
   };
 
+  void Update(const Entry& aEntry);
+
   Poco::Net::PollSet pollSet_;
   std::map<SocketKey, Entry> entries_;
   std::map<Poco::Net::Socket, SocketKey> keys_;
--- a/packages/node/TcpChannel.cpp
+++ b/packages/node/TcpChannel.cpp
@@ -2,8 +2,10 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketImpl.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <poll.h>
 
 namespace fulmarway {
 
@@ -87,12 +89,14 @@
 }
 
 ChannelStatus
-TcpChannel::Read(std::string& aInput)
+TcpChannel::Read(std::string& aInput, std::size_t aMaxBytes)
 {
   static thread_local std::array<char, kReadBufferBytes> buffer;
   try {
-    for (int turn = 0; turn < kMaxReadsPerPoll; ++turn) {
-      const int received = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    std::size_t left = aMaxBytes;
+    for (int turn = 0; turn < kMaxReadsPerPoll && left > 0; ++turn) {
+      const std::size_t wanted = std::min(left, buffer.size());
+      const int received = socket_.receiveBytes(buffer.data(), static_cast<int>(wanted));
       if (received == 0) {
         closedCleanly_ = true;
         return ChannelStatus::kClosed;
@@ -101,9 +105,10 @@
         return ChannelStatus::kOpen;
       }
       aInput.append(buffer.data(), static_cast<std::size_t>(received));
-      if (static_cast<std::size_t>(received) < buffer.size()) {
+      if (static_cast<std::size_t>(received) < wanted) {
         return ChannelStatus::kOpen;
       }
+      left -= wanted;
     }
     return ChannelStatus::kOpen;
   } catch (const Poco::TimeoutException&) {
@@ -113,6 +118,24 @@
   }
 }
 
+bool
+TcpChannel::HasPeerClosed() const
+{
+  // POCO doesn't report POLLRDHUP.
+  pollfd entry{ socket_.impl()->sockfd(), POLLRDHUP, 0 };
+  return ::poll(&entry, 1, 0) > 0;
+}
+
+void
+TcpChannel::ShutdownSend()
+{
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {
+    // The other side has already reset the connection, which the next Read() reports.
+  }
+}
+
 void
 TcpChannel::Close()
 {
--- a/packages/node/TcpChannel.h
+++ b/packages/node/TcpChannel.h
@@ -33,8 +33,15 @@
   /** Writes as much as the socket accepts without blocking. */
   ChannelStatus Flush();
 
-  /** Appends received bytes to aInput. */
-  ChannelStatus Read(std::string& aInput);
+  /** Appends received bytes to aInput, aMaxBytes at most. */
+  ChannelStatus Read(std::string& aInput, std::size_t aMaxBytes = SIZE_MAX);
+
+  /** Whether the other side has closed the connection or reset it, even if bytes that it sent
+   * before are still unread. */
+  bool HasPeerClosed() const;
+
+  /** Tells the other side that nothing more is sent. */
+  void ShutdownSend();
 
   /** Bytes written to the socket since it was opened. */
   std::uint64_t BytesWritten() const { return bytesWritten_; }
--- a/packages/node/tests/Loopback.h
+++ b/packages/node/tests/Loopback.h
@@ -39,6 +39,25 @@
     socket_.sendBytes(aText.data(), static_cast<int>(aText.size()));
   }
 
+  /** Sends as much as the buffers of the kernel take; returns the number of bytes. */
+  std::size_t SendSome(std::string_view aText)
+  {
+    std::size_t sent = 0;
+    try {
+      while (sent < aText.size()) {
+        const int count =
+          socket_.sendBytes(aText.data() + sent, static_cast<int>(aText.size() - sent));
+        if (count <= 0) {
+          break;
+        }
+        sent += static_cast<std::size_t>(count);
+      }
+    } catch (const Poco::Exception&) {
+      return sent;
+    }
+    return sent;
+  }
+
   void Close() { socket_.close(); }
 
   /** Closes the connection with RST instead of FIN. */
