Record when a leave without a start time was noticed

Cause: a leave need not say when its backend server started. The record then had the start time 0, and any heartbeat is later than that. Only the process that took the notice knew its time.

The departure now has the time of such a notice. It covers each incarnation with its id that started by then, in any process that reads it, before or after the heartbeat, and ranks as one that started then. The start time in it is a lower bound, so that the departure of the incarnation before, which it replaces, still holds. A leave without a start time after that of another id is no longer ignored.

The field is written only where it is set; departures of earlier releases are read as before, with the same bytes.

--- a/packages/model/BackendHeartbeat.h
+++ b/packages/model/BackendHeartbeat.h
@@ -49,11 +49,15 @@
 {
   /** As in BackendHeartbeat. */
   std::string instance_;
+  /** As in BackendHeartbeat. A lower bound when the departure has a notice time. */
   std::uint64_t startedAtMs_ = 0;
   /** Sequence of the heartbeat that announced the departure; earlier ones are outdated. */
   std::uint64_t sequence_ = 0;
   /** The incarnation left for good. Otherwise it drains, which a later heartbeat may take back. */
   bool final_ = false;
+  /** Wall-clock time of a leave notice without a start time, milliseconds since 1970. All
+   * incarnations with this id that started by then have left. 0 when the start time is known. */
+  std::uint64_t noticedAtMs_ = 0;
 
   auto operator<=>(const BackendDeparture&) const = default;
 };
--- a/packages/policy/BackendHeartbeats.h
+++ b/packages/policy/BackendHeartbeats.h
@@ -22,6 +22,8 @@
   Instant lastHeartbeatAt_;
   /** It has left for good, and no later incarnation has sent a heartbeat. */
   bool hasLeft_ = false;
+  /** As in BackendDeparture. */
+  std::uint64_t noticedAtMs_ = 0;
   /** Consecutive connections that could not be opened. */
   std::uint32_t failedConnects_ = 0;
 
@@ -45,15 +47,19 @@
 
 /** Marks the incarnation that sent the notice as left. It need not be known: the first message of
  * an incarnation to this process may be its leave. Returns false when the notice is from an earlier
- * incarnation. */
+ * incarnation. aWallTimeMs is the time of the notice. */
 Step<std::optional<BackendInstance>, bool>
-ApplyLeave(std::optional<BackendInstance> aCurrent, const BackendLeave& aLeave, Instant aNow);
+ApplyLeave(std::optional<BackendInstance> aCurrent,
+           const BackendLeave& aLeave,
+           std::uint64_t aWallTimeMs,
+           Instant aNow);
 
 /** The departure of the current incarnation; nullopt while it does not leave. */
 std::optional<BackendDeparture>
 DepartureOf(const std::optional<BackendInstance>& aCurrent);
 
-/** Whether aLeft is of a later incarnation than aRight, or the final one of the same. */
+/** Whether aLeft is of a later incarnation than aRight, or the final one of the same. A departure
+ * with a notice time counts as one of an incarnation that started then. */
 bool
 IsLaterDeparture(const std::optional<BackendDeparture>& aLeft,
                  const std::optional<BackendDeparture>& aRight);
--- a/packages/policy/GossipQueue.cpp
+++ b/packages/policy/GossipQueue.cpp
@@ -41,8 +41,8 @@
 constexpr std::size_t kVariantBytes = 4;
 /** Generation, sequence, state, epoch, version and successor. */
 constexpr std::size_t kRecordNumberBytes = 8 + 4 + 1 + 4 + 8 + kIdBytes;
-/** Start, sequence and finality of a departure. */
-constexpr std::size_t kDepartureNumberBytes = 8 + 8 + 1;
+/** Start, sequence, finality and notice time of a departure. */
+constexpr std::size_t kDepartureNumberBytes = 8 + 8 + 1 + 8;
 constexpr std::size_t kSummaryBytes = kIdBytes + 8 + 4 + 1;
 
 std::size_t
--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -132,7 +132,8 @@
   // The heartbeats of a draining backend server repeat its departure.
   const bool isRepeated = departure && aBefore && departure->instance_ == aBefore->instance_ &&
                           departure->startedAtMs_ == aBefore->startedAtMs_ &&
-                          departure->final_ == aBefore->final_;
+                          departure->final_ == aBefore->final_ &&
+                          departure->noticedAtMs_ == aBefore->noticedAtMs_;
   if (isRepeated || !IsLaterDeparture(departure, aState.membership_.self_.departure_)) {
     return;
   }
@@ -159,32 +160,13 @@
   aContext.effects_.push_back(LogLine{ "backend_departure_restored",
                                        { { "instance", recorded->instance_ },
                                          { "started_ms", std::to_string(recorded->startedAtMs_) },
+                                         { "noticed_ms", std::to_string(recorded->noticedAtMs_) },
                                          { "final", recorded->final_ ? "true" : "false" } } });
   UpdateDrain(aState, aContext);
   aState.lifecycle_.drainStartedAt_ =
     std::min(aState.lifecycle_.drainStartedAt_, aContext.now_ - aState.settings_.drainGrace_);
 }
 
-/** Takes the start time of a leave that came without one from the heartbeat, if its incarnation was
- * running when the notice came. Otherwise a late heartbeat would count as one of a later
- * incarnation. Both times are of the VM that the node shares with its backend server. */
-void
-AttributeLeave(NodeState& aState, const ReduceContext& aContext, const BackendHeartbeat& aHeartbeat)
-{
-  auto& current = aState.backend_;
-  if (!current || !current->hasLeft_ || current->heartbeat_.startedAtMs_ != 0 ||
-      current->heartbeat_.instance_ != aHeartbeat.instance_) {
-    return;
-  }
-  // The time of the notice, unless heartbeats without a start time came before it.
-  const auto sinceNotice = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aContext.now_ - current->firstHeartbeatAt_);
-  if (aHeartbeat.startedAtMs_ + static_cast<std::uint64_t>(sinceNotice.count()) <=
-      aContext.wallTimeMs_) {
-    current->heartbeat_.startedAtMs_ = aHeartbeat.startedAtMs_;
-  }
-}
-
 /** Sends the acknowledgements whose departure is in the store, or that waited for too long. */
 void
 AdvanceAcknowledgements(NodeState& aState, ReduceContext& aContext)
@@ -359,11 +341,11 @@
       LogLine{ "backend_report_outdated",
                { { "instance", aHeartbeat.instance_ },
                  { "started_ms", std::to_string(aHeartbeat.startedAtMs_) },
-                 { "departed_started_ms", std::to_string(recorded->startedAtMs_) } } });
+                 { "departed_started_ms", std::to_string(recorded->startedAtMs_) },
+                 { "departed_noticed_ms", std::to_string(recorded->noticedAtMs_) } } });
     return;
   }
   const auto departureBefore = DepartureOf(aState.backend_);
-  AttributeLeave(aState, aContext, aHeartbeat);
   const HeartbeatVerdict verdict =
     Apply(aState.backend_, ApplyHeartbeat(std::move(aState.backend_), aHeartbeat, aContext.now_));
   if (verdict == HeartbeatVerdict::kOutdated) {
@@ -395,8 +377,10 @@
 HandleBackendLeft(NodeState& aState, ReduceContext& aContext, const BackendLeave& aLeave)
 {
   const auto departureBefore = DepartureOf(aState.backend_);
-  if (Apply(aState.backend_, ApplyLeave(std::move(aState.backend_), aLeave, aContext.now_))) {
+  if (Apply(aState.backend_,
+            ApplyLeave(std::move(aState.backend_), aLeave, aContext.wallTimeMs_, aContext.now_))) {
     aContext.effects_.push_back(LogLine{ "backend_leaves", { { "instance", aLeave.instance_ } } });
+    RestoreDeparture(aState, aContext);
     RecordDeparture(aState, aContext, departureBefore);
     UpdateDrain(aState, aContext);
   }
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -239,6 +239,26 @@
   }
 }
 
+/** Guards against a leave without a start time that makes a new process forget the departure of the
+ * incarnation before, so that a late heartbeat undoes that. */
+Test(routed_calls, leave_without_a_start_time_keeps_the_departure_before_it)
+{
+  RoutedSimulation simulation(1);
+  NodeState& node = simulation.nodes_[0];
+  node.backend_.reset();
+  node.membership_.self_.departure_ = BackendDeparture{ "i-0", 40'000, 9, true };
+  node = Reduce(std::move(node), Event{ simulation.now_, 1, 50'000, BackendLeft{ { "i-1", 0 } } })
+           .state_;
+  simulation.sendsHeartbeats_ = false;
+  simulation.Run(std::chrono::seconds(2));
+  BackendHeartbeat heartbeat = MakeRoutedHeartbeat(9);
+  heartbeat.instance_ = "i-0";
+  heartbeat.startedAtMs_ = 40'000;
+  simulation.Inject(0, BackendHeartbeatReceived{ heartbeat });
+  cr_expect(IsLeaving(node.backend_));
+  cr_expect_eq(node.membership_.self_.departure_->instance_, "i-1");
+}
+
 /** Guards against requests that reach a backend server after the grace period of its drain. */
 Test(routed_calls, leaving_backend_server_gets_nothing_after_the_grace)
 {
--- a/packages/wire/Serialize.h
+++ b/packages/wire/Serialize.h
@@ -164,11 +164,15 @@
 void
 serialize(Archive& aArchive, MemberRecord& aValue)
 {
-  // Whether a departure follows is a bit of the state: most records have none, and records make up
-  // most of the gossip.
+  // Whether a departure and its notice time follow are bits of the state: most records have none,
+  // and records make up most of the gossip. Earlier releases wrote departures without a notice
+  // time.
   constexpr std::uint8_t kHasDeparture = 0x80;
+  constexpr std::uint8_t kHasNoticeTime = 0x40;
   auto state = static_cast<std::uint8_t>(aValue.state_);
   state = aValue.departure_ ? state | kHasDeparture : state;
+  state =
+    aValue.departure_ && aValue.departure_->noticedAtMs_ != 0 ? state | kHasNoticeTime : state;
   aArchive(aValue.identity_,
            aValue.sequence_,
            state,
@@ -176,7 +180,11 @@
            aValue.configVersion_,
            aValue.successor_);
   const bool hasDeparture = (state & kHasDeparture) != 0;
-  state &= static_cast<std::uint8_t>(~kHasDeparture);
+  const bool hasNoticeTime = (state & kHasNoticeTime) != 0;
+  state &= static_cast<std::uint8_t>(~(kHasDeparture | kHasNoticeTime));
+  if (hasNoticeTime && !hasDeparture) {
+    throw cereal::Exception("notice time without a departure");
+  }
   if (state > static_cast<std::uint8_t>(MemberState::kLeft)) {
     throw cereal::Exception("enumeration value out of range");
   }
@@ -186,8 +194,18 @@
   } else if (!hasDeparture) {
     aValue.departure_.reset();
   }
-  if (aValue.departure_) {
-    aArchive(*aValue.departure_);
+  if (!aValue.departure_) {
+    return;
+  }
+  aArchive(*aValue.departure_);
+  std::uint64_t& noticedAtMs = aValue.departure_->noticedAtMs_;
+  if (!hasNoticeTime) {
+    noticedAtMs = 0;
+    return;
+  }
+  aArchive(noticedAtMs);
+  if (noticedAtMs == 0) {
+    throw cereal::Exception("notice time is zero");
   }
 }
 
--- a/packages/wire/tests/MessageFuzzTest.cpp
+++ b/packages/wire/tests/MessageFuzzTest.cpp
@@ -162,6 +162,28 @@
   CheckFormat<DatagramFormat>();
 }
 
+/** Guards against a release that can't read the departures which nodes of an earlier one have left
+ * in the store: their records have no notice time. */
+Test(message_fuzz, departure_of_an_earlier_release_is_read)
+{
+  GossipMessage gossip;
+  gossip.updates_.emplace_back().departure_ = BackendDeparture{ "i-1", 7, 3, true };
+  std::string earlier(193, '\0'); // As encoded by that release.
+  for (const auto& [at, byte] : std::map<std::size_t, int>{ { 60, 1 },
+                                                            { 144, 0x80 },
+                                                            { 165, 3 },
+                                                            { 173, 'i' },
+                                                            { 174, '-' },
+                                                            { 175, '1' },
+                                                            { 176, 7 },
+                                                            { 184, 3 },
+                                                            { 192, 1 } }) {
+    earlier[at] = static_cast<char>(byte);
+  }
+  cr_expect_eq(DatagramFormat::Encode(gossip).substr(sizeof(Bits128)), earlier);
+  cr_expect(DatagramFormat::Decode(PrependMac(earlier)) == gossip);
+}
+
 Test(message_fuzz, log_records)
 {
   CheckFormat<RecordFormat>();
