Keep a leave of another id than the known incarnation

A leave without a start time was ignored when the node knew another incarnation, since it could be from an earlier one. If it was from the next one, whose first heartbeat arrives late, that heartbeat took the backend server into use again after the acknowledgement (DRAIN).

Found by reading, no user saw it.

The process keeps the last such leave and applies it, without another grace time, when a heartbeat of that id arrives whose incarnation had started by the notice. The known incarnation stays in use meanwhile.

Measured: leave_of_another_id_outlasts_a_late_heartbeat fails before.

--- a/packages/policy/Lifecycle.cpp
+++ b/packages/policy/Lifecycle.cpp
@@ -146,6 +146,13 @@
   aState.store_.nextAnnounceAt_ = aContext.now_;
 }
 
+void
+EndDrainGrace(NodeState& aState, Instant aNow)
+{
+  Instant& startedAt = aState.lifecycle_.drainStartedAt_;
+  startedAt = std::min(startedAt, aNow - aState.settings_.drainGrace_);
+}
+
 /** Applies a departure that an earlier process recorded, and that this one reads only after it has
  * taken the backend server into use. Its grace time counted from then and is
  * over: no node has sent requests to this process yet. */
@@ -163,8 +170,7 @@
                                          { "noticed_ms", std::to_string(recorded->noticedAtMs_) },
                                          { "final", recorded->final_ ? "true" : "false" } } });
   UpdateDrain(aState, aContext);
-  aState.lifecycle_.drainStartedAt_ =
-    std::min(aState.lifecycle_.drainStartedAt_, aContext.now_ - aState.settings_.drainGrace_);
+  EndDrainGrace(aState, aContext.now_);
 }
 
 /** Sends the acknowledgements whose departure is in the store, or that waited for too long. */
@@ -359,6 +365,10 @@
                { { "instance", aHeartbeat.instance_ },
                  { "started_ms", std::to_string(aHeartbeat.startedAtMs_) },
                  { "slots", std::to_string(aHeartbeat.slots_) } } });
+    if (aState.otherLeave_ && IsBeforeDeparture(aHeartbeat, *aState.otherLeave_)) {
+      HandleBackendLeft(aState, aContext, { aHeartbeat.instance_, aHeartbeat.startedAtMs_ });
+      EndDrainGrace(aState, aContext.now_); // It counted from the notice.
+    }
   }
   AdmissionSettings settings = aState.admission_.settings_;
   if (aHeartbeat.slots_ > 0 && settings.slots_ != aHeartbeat.slots_) {
@@ -383,6 +393,8 @@
     RestoreDeparture(aState, aContext);
     RecordDeparture(aState, aContext, departureBefore);
     UpdateDrain(aState, aContext);
+  } else if (aLeave.startedAtMs_ == 0) {
+    aState.otherLeave_ = BackendDeparture{ aLeave.instance_, 0, 0, true, aContext.wallTimeMs_ };
   }
 }
 
--- a/packages/policy/NodeState.h
+++ b/packages/policy/NodeState.h
@@ -338,6 +338,8 @@
   QuotaState quota_;
   /** nullopt before the first heartbeat, and always with health checks. */
   std::optional<BackendInstance> backend_;
+  /** The last leave that named no start time and is of another id than the current incarnation. */
+  std::optional<BackendDeparture> otherLeave_;
   std::vector<PendingAcknowledgement> pendingAcknowledgements_;
   Counters counters_;
   Instant nextAdmissionAdvanceAt_;
--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -239,6 +239,30 @@
   }
 }
 
+/** Guards against a leave that is forgotten since the node knows another incarnation, which may be
+ * an earlier one: the first heartbeat of the one that left then arrives late. */
+Test(routed_calls, leave_of_another_id_outlasts_a_late_heartbeat)
+{
+  constexpr std::uint64_t kNoticeMs = 50'000;
+  for (const bool isLater : { false, true }) {
+    RoutedSimulation simulation(1);
+    NodeState& node = simulation.nodes_[0];
+    node =
+      Reduce(std::move(node), Event{ simulation.now_, 1, kNoticeMs, BackendLeft{ { "i-2", 0 } } })
+        .state_;
+    simulation.SendRequest(0, "/safe/1");
+    cr_assert_eq(simulation.BackendRequests().size(), 1U, "the known one remains in use");
+    simulation.sendsHeartbeats_ = false;
+    BackendHeartbeat heartbeat = MakeRoutedHeartbeat(1);
+    heartbeat.instance_ = "i-2";
+    heartbeat.startedAtMs_ = isLater ? kNoticeMs + 1 : kNoticeMs;
+    simulation.Inject(0, BackendHeartbeatReceived{ heartbeat });
+    simulation.SendRequest(0, "/safe/1");
+    cr_expect_eq(simulation.BackendRequests().size(), isLater ? 2U : 1U);
+    cr_expect_neq(node.membership_.self_.departure_.has_value(), isLater);
+  }
+}
+
 /** Guards against a leave without a start time that makes a new process forget the departure of the
  * incarnation before, so that a late heartbeat undoes that. */
 Test(routed_calls, leave_without_a_start_time_keeps_the_departure_before_it)
