Let a repeated SIGTERM leave the requests in progress alone

Cause: the handler ended the process at the second stop signal, meant as a way out for an operator.

SIGTERM is only counted now; a SIGINT after another stop signal still ends the process, for an operator at a terminal. The handlers moved to packages/node/Signals, where they can be tested.

--- a/apps/fulmarwayd/Main.cpp
+++ b/apps/fulmarwayd/Main.cpp
@@ -3,20 +3,18 @@
  */
 #include "LogOutput.h"
 #include "node/Node.h"
+#include "node/Signals.h"
 #include "platform/Bounds.h"
 #include "platform/Interface.h"
 
 #include <Poco/Exception.h>
-#include <atomic>
 #include <chrono>
-#include <csignal>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
 #include <memory>
 #include <random>
 #include <spdlog/spdlog.h>
-#include <unistd.h>
 
 namespace {
 
@@ -26,21 +24,6 @@
 
 ReceivedSignals gSignals;
 
-/** The first signal starts the graceful stop; the second exits immediately. */
-void
-HandleStopSignal(int)
-{
-  if (gSignals.stops_.fetch_add(1) > 0) {
-    _exit(kExitFailed);
-  }
-}
-
-void
-HandleReloadSignal(int)
-{
-  gSignals.reloads_.fetch_add(1);
-}
-
 std::optional<std::string>
 ReadEnvironment(const std::string& aName)
 {
@@ -98,10 +81,7 @@
 RunNode(const ProcessSettings& aSettings)
 {
   const auto output = SetUpLogging(aSettings.logLevel_);
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGTERM, HandleStopSignal);
-  std::signal(SIGINT, HandleStopSignal);
-  std::signal(SIGHUP, HandleReloadSignal);
+  InstallSignalHandlers(gSignals);
   try {
     const bool usesPlatformInterface = aSettings.interface_ == kPlatformInterface;
     Node node(aSettings,
--- a/packages/node/Node.h
+++ b/packages/node/Node.h
@@ -13,11 +13,11 @@
 #include "node/NodeInterface.h"
 #include "node/PeerLinks.h"
 #include "node/Settings.h"
+#include "node/Signals.h"
 #include "policy/BackendHealth.h"
 #include "policy/Reducer.h"
 
 #include <Poco/Net/DatagramSocket.h>
-#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -37,14 +37,6 @@
 /** Returns the number of log lines dropped because the reader of the log did not keep up. */
 using DroppedLogLines = std::function<std::uint64_t()>;
 
-/** Counters that the signal handlers of the process increment. */
-struct ReceivedSignals
-{
-  std::atomic<int> stops_{ 0 };
-  /** Requests to reload the settings. */
-  std::atomic<int> reloads_{ 0 };
-};
-
 class Node
 {
 public:
