Check that a paused connection wakes nothing

The tests of paused reading passed also when the socket of a paused connection was still polled, so that the event loop would spin on what the kernel holds. client_that_leaves_while_its_reading_pauses now fails then (measured: with SetWantsRead() left out).

--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -82,6 +82,8 @@
     }
   }
 
+  bool HasReadySocket() { return !poller_.Poll(Duration(0)).empty(); }
+
   void Reply(std::size_t aRequest, const std::string& aBody)
   {
     HttpResponseHead head(Poco::Net::HTTPResponse::HTTP_OK);
@@ -685,6 +687,7 @@
     server.Settle();
     server.Record(server.server_.CloseIdle(server.now_));
     cr_assert(server.disconnected_.empty());
+    cr_expect_not(server.HasReadySocket(), "what the kernel holds wakes nothing");
     isReset ? client.Reset() : client.Close();
     cr_assert(server.RunUntil([&] {
       server.Record(server.server_.CloseIdle(server.now_));
