--- a/packages/policy/BackendHeartbeats.cpp
+++ b/packages/policy/BackendHeartbeats.cpp
@@ -29,15 +29,15 @@
   return aNoticedAtMs != 0 && aStartedAtMs <= aNoticedAtMs;
 }
 
-/** A time by which the incarnation had started and before which its successor did not start. */
+/** A time by which the incarnation had started and by which its successor had not. */
 std::uint64_t
 LatestStartOf(std::uint64_t aStartedAtMs, std::uint64_t aNoticedAtMs)
 {
   return std::max(aStartedAtMs, aNoticedAtMs);
 }
 
-/** Whether the departed incarnation is a later one than another id with this start time, because
- * its own start is known only by a lower bound. */
+/** Whether the incarnation that sent a leave notice without a start time started after one with
+ * another id and this start time. */
 bool
 StartedAfter(const BackendDeparture& aDeparture, std::uint64_t aStartedAtMs)
 {
