--- a/packages/node/tests/HttpServerTest.cpp
+++ b/packages/node/tests/HttpServerTest.cpp
@@ -128,6 +128,20 @@
   return aHead.getURI() != "/once";
 }
 
+/** Sends more than the server receives behind a request in progress. The rest fits into the buffer
+ * of the kernel, so that the end of the connection can arrive. */
+void
+PauseReading(Server& aServer, LoopbackPeer& aClient)
+{
+  const std::string ahead(kMaxInputAhead + 20'000, 'x');
+  std::string_view unsent = ahead;
+  cr_assert(aServer.RunUntil([&] {
+    unsent.remove_prefix(aClient.SendSome(unsent));
+    return unsent.empty();
+  }));
+  aServer.Settle();
+}
+
 } // namespace
 
 Test(http_server, keep_alive_carries_several_requests)
@@ -677,14 +691,7 @@
     LoopbackPeer client(server.address_);
     client.Send(kGet);
     cr_assert(server.RunUntilRequests(1));
-    // What is left fits into the buffer of the kernel, so that the end of the connection arrives.
-    const std::string ahead(kMaxInputAhead + 20'000, 'x');
-    std::string_view unsent = ahead;
-    cr_assert(server.RunUntil([&] {
-      unsent.remove_prefix(client.SendSome(unsent));
-      return unsent.empty();
-    }));
-    server.Settle();
+    PauseReading(server, client);
     server.Record(server.server_.CloseIdle(server.now_));
     cr_assert(server.disconnected_.empty());
     cr_expect_not(server.HasReadySocket(), "what the kernel holds wakes nothing");
@@ -767,13 +774,7 @@
     LoopbackPeer client(server.address_);
     client.Send(kGet);
     cr_assert(server.RunUntilRequests(1));
-    const std::string ahead(kMaxInputAhead + 20'000, 'x');
-    std::string_view unsent = ahead;
-    cr_assert(server.RunUntil([&] {
-      unsent.remove_prefix(client.SendSome(unsent));
-      return unsent.empty();
-    }));
-    server.Settle();
+    PauseReading(server, client);
     server.server_.CloseAfterReplies();
     if (end != End::kNewConnection) {
       server.server_.StopAccepting();
