--- a/packages/node/HttpServer.cpp
+++ b/packages/node/HttpServer.cpp
@@ -125,14 +125,20 @@
     CloseConnection(id, events);
     return events;
   }
-  if (Flush(id, aNow, events)) {
-    ReadRequest(id, aNow, events);
-    Flush(id, aNow, events);
-  }
-  Update(id, aNow);
+  FlushAndRead(id, aNow, events);
   return events;
 }
 
+void
+HttpServer::FlushAndRead(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents)
+{
+  if (Flush(aId, aNow, aEvents)) {
+    ReadRequest(aId, aNow, aEvents);
+    Flush(aId, aNow, aEvents);
+  }
+  Update(aId, aNow);
+}
+
 ChannelStatus
 HttpServer::Receive(Connection& aConnection)
 {
@@ -377,12 +383,8 @@
   Connection& connection = connections_.at(*id);
   connection.exchanges_.clear(); // An announced request is the only one in progress.
   Continue(*id, connection);
-  if (Flush(*id, aNow, events)) {
-    // A client that does not wait may have sent the rest, for which no event comes.
-    ReadRequest(*id, aNow, events);
-    Flush(*id, aNow, events);
-  }
-  Update(*id, aNow);
+  // A client that does not wait may have sent the rest, for which no event comes.
+  FlushAndRead(*id, aNow, events);
   return events;
 }
 
--- a/packages/node/HttpServer.h
+++ b/packages/node/HttpServer.h
@@ -218,6 +218,8 @@
   static bool IsInputDropped(const Connection& aConnection);
   /** Input of a connection that may be held while its next request can not be read. */
   std::size_t InputLimit(const Connection& aConnection) const;
+  /** Writes pending output and reads the next request, if the connection stays open. */
+  void FlushAndRead(std::uint64_t aId, Instant aNow, HttpServerEvents& aEvents);
   /** Receives input as far as it may be held, or drops it. */
   ChannelStatus Receive(Connection& aConnection);
   /** Whether there is a request, or a part of one, that was not passed on. */
