Routed simulation: the time of day is a setting of it

Three tests of leaves called Reduce() themselves, only to set the time of day; they use Inject() now. Their assertions stay, and each fails as before without its part of the change. One is added: the line that ends the grace time of a leave of another id was covered by none; without it leave_of_another_id_outlasts_a_late_heartbeat now fails.

--- a/packages/policy/tests/RoutedCallsTest.cpp
+++ b/packages/policy/tests/RoutedCallsTest.cpp
@@ -219,20 +219,17 @@
   constexpr std::uint64_t kNoticeMs = 50'000;
   for (const bool isLater : { false, true }) {
     RoutedSimulation simulation(1);
-    NodeState& node = simulation.nodes_[0];
-    node.backend_.reset();
-    const auto inject = [&](EventBody aBody, std::uint64_t aWallTimeMs) {
-      node =
-        Reduce(std::move(node), Event{ simulation.now_, 1, aWallTimeMs, std::move(aBody) }).state_;
-    };
-    inject(BackendLeft{ { "i-1", 0 } }, kNoticeMs);
+    simulation.nodes_[0].backend_.reset();
+    simulation.wallTimeMs_ = kNoticeMs;
+    simulation.Inject(0, BackendLeft{ { "i-1", 0 } });
     simulation.sendsHeartbeats_ = false;
     simulation.Run(std::chrono::seconds(2));
+    simulation.wallTimeMs_ += 2000;
     BackendHeartbeat heartbeat = MakeRoutedHeartbeat(9);
     heartbeat.startedAtMs_ = isLater ? kNoticeMs + 1 : kNoticeMs;
     for (int i = 0; i < 2; ++i) {
       heartbeat.sequence_ += 1;
-      inject(BackendHeartbeatReceived{ heartbeat }, kNoticeMs + 2000);
+      simulation.Inject(0, BackendHeartbeatReceived{ heartbeat });
       simulation.SendRequest(0, "/safe/1");
     }
     cr_expect_eq(simulation.BackendRequests().empty(), !isLater);
@@ -246,10 +243,9 @@
   constexpr std::uint64_t kNoticeMs = 50'000;
   for (const bool isLater : { false, true }) {
     RoutedSimulation simulation(1);
-    NodeState& node = simulation.nodes_[0];
-    node =
-      Reduce(std::move(node), Event{ simulation.now_, 1, kNoticeMs, BackendLeft{ { "i-2", 0 } } })
-        .state_;
+    const NodeState& node = simulation.nodes_[0];
+    simulation.wallTimeMs_ = kNoticeMs;
+    simulation.Inject(0, BackendLeft{ { "i-2", 0 } });
     simulation.SendRequest(0, "/safe/1");
     cr_assert_eq(simulation.BackendRequests().size(), 1U, "the known one remains in use");
     simulation.sendsHeartbeats_ = false;
@@ -257,6 +253,8 @@
     heartbeat.instance_ = "i-2";
     heartbeat.startedAtMs_ = isLater ? kNoticeMs + 1 : kNoticeMs;
     simulation.Inject(0, BackendHeartbeatReceived{ heartbeat });
+    cr_expect_eq(
+      AcceptsNewWork(node, simulation.now_), isLater, "its grace time counted from the notice");
     simulation.SendRequest(0, "/safe/1");
     cr_expect_eq(simulation.BackendRequests().size(), isLater ? 2U : 1U);
     cr_expect_neq(node.membership_.self_.departure_.has_value(), isLater);
@@ -271,8 +269,8 @@
   NodeState& node = simulation.nodes_[0];
   node.backend_.reset();
   node.membership_.self_.departure_ = BackendDeparture{ "i-0", 40'000, 9, true };
-  node = Reduce(std::move(node), Event{ simulation.now_, 1, 50'000, BackendLeft{ { "i-1", 0 } } })
-           .state_;
+  simulation.wallTimeMs_ = 50'000;
+  simulation.Inject(0, BackendLeft{ { "i-1", 0 } });
   simulation.sendsHeartbeats_ = false;
   simulation.Run(std::chrono::seconds(2));
   BackendHeartbeat heartbeat = MakeRoutedHeartbeat(9);
--- a/packages/policy/tests/RoutedSimulation.h
+++ b/packages/policy/tests/RoutedSimulation.h
@@ -105,7 +105,8 @@
     while (!pending_.empty()) {
       auto [node, body] = std::move(pending_.front());
       pending_.pop_front();
-      auto step = Reduce(std::move(nodes_[node]), Event{ now_, ++entropy_, 0, std::move(body) });
+      auto step =
+        Reduce(std::move(nodes_[node]), Event{ now_, ++entropy_, wallTimeMs_, std::move(body) });
       nodes_[node] = std::move(step.state_);
       for (Effect& effect : step.result_) {
         Deliver(node, effect);
@@ -183,6 +184,8 @@
   /** Effects that are not messages between nodes, by node. */
   std::vector<std::vector<Effect>> effects_;
   bool sendsHeartbeats_ = true;
+  /** Time of day of all nodes; doesn't advance with now_. */
+  std::uint64_t wallTimeMs_ = 0;
   std::set<std::size_t> draining_;
   /** Nodes with replies that are not completely written. */
   std::set<std::size_t> writing_;
